Add workspace, types, peer wire and stand-ins

Cause: an empty repository; lanes need settled types and wire first. Ruled out: grpc-web or plain JSON between instances (connect-es carries the peer protocol with generated types); a third-party platform or engine (stand-ins speak the published shapes and keep the ground truth). Change: npm workspaces on TypeScript 5.9 with project references, the shared read-only types, peer.proto with committed generated code, sealing, clocks, key=value logs, and small stand-ins: platform (watch, stale, down, a view per reader), engine (continuous batching, preemption, report lag, fenced orders, crash), plain service (records each run).

--- /dev/null
+++ b/packages/logger/src/logger.ts
@@ -0,0 +1,23 @@
+import { Roarr } from "roarr";
+import type { LogFields } from "./log_fields.js";
+
+/** Writes one key=value line for each event. */
+export class Logger {
+  readonly #roarr: typeof Roarr;
+
+  constructor(context: LogFields) {
+    this.#roarr = Roarr.child({ ...context });
+  }
+
+  info(event: string, fields: LogFields = {}): void {
+    this.#roarr.info({ ...fields }, event);
+  }
+
+  warn(event: string, fields: LogFields = {}): void {
+    this.#roarr.warn({ ...fields }, event);
+  }
+
+  error(event: string, fields: LogFields = {}): void {
+    this.#roarr.error({ ...fields }, event);
+  }
+}
--- /dev/null
+++ b/packages/standins/src/engine_model.ts
@@ -0,0 +1,118 @@
+import type { EngineModelStream } from "./engine_model_stream.js";
+import type { EngineOptions } from "./engine_options.js";
+import type { EngineStep } from "./engine_step.js";
+
+const MAX_CACHED_PREFIXES = 64;
+const ADMISSION_SLACK = 0.02;
+
+/**
+ * Continuous batching with limited memory: each step every running stream
+ * produces one token; when memory is full the stream of least priority is
+ * preempted, and is computed anew when it is admitted again.
+ */
+export class EngineModel {
+  readonly #options: EngineOptions;
+  readonly #prefixes = new Set<string>();
+  #running: EngineModelStream[] = [];
+  #waiting: EngineModelStream[] = [];
+  #preemptions = 0;
+
+  constructor(options: EngineOptions) {
+    this.#options = options;
+  }
+
+  get runningCount(): number {
+    return this.#running.length;
+  }
+
+  get waitingCount(): number {
+    return this.#waiting.length;
+  }
+
+  get preemptions(): number {
+    return this.#preemptions;
+  }
+
+  get usedTokens(): number {
+    return this.#running.reduce((sum, stream) => sum + contextOf(stream), 0);
+  }
+
+  add(stream: EngineModelStream): void {
+    this.#waiting.push(stream);
+  }
+
+  cancel(streamId: string): void {
+    const isOther = (stream: EngineModelStream) => stream.streamId !== streamId;
+    this.#running = this.#running.filter(isOther);
+    this.#waiting = this.#waiting.filter(isOther);
+  }
+
+  /** Runs one step; the caller lets `durationMs` pass before the next. */
+  step(): EngineStep {
+    const prefillTokens = this.#admitWaiting();
+    const preempted = this.#preemptUntilFits();
+    for (const stream of this.#running) stream.producedTokens += 1;
+    const produced = [...this.#running];
+    const finished = produced.filter(isDone);
+    this.#running = this.#running.filter((stream) => !isDone(stream));
+    const { baseStepMs, streamStepMs, prefillMsPerToken } = this.#options;
+    const durationMs =
+      baseStepMs +
+      streamStepMs * produced.length +
+      prefillMsPerToken * prefillTokens;
+    return { durationMs, produced, preempted, finished };
+  }
+
+  #admitWaiting(): number {
+    this.#waiting.sort((a, b) => a.priority - b.priority);
+    const { capacityTokens, maxBatch } = this.#options;
+    const limit = capacityTokens * (1 - ADMISSION_SLACK);
+    let used = this.usedTokens;
+    let prefillTokens = 0;
+    while (this.#running.length < maxBatch) {
+      const next = this.#waiting[0];
+      if (!next) break;
+      const isAlone = this.#running.length === 0;
+      if (used + contextOf(next) > limit && !isAlone) break;
+      this.#waiting.shift();
+      this.#running.push(next);
+      used += contextOf(next);
+      prefillTokens += this.#countPrefill(next);
+    }
+    return prefillTokens;
+  }
+
+  #countPrefill(stream: EngineModelStream): number {
+    const isCached = this.#prefixes.delete(stream.prefixKey);
+    this.#prefixes.add(stream.prefixKey);
+    const [oldest] = this.#prefixes;
+    if (this.#prefixes.size > MAX_CACHED_PREFIXES && oldest !== undefined) {
+      this.#prefixes.delete(oldest);
+    }
+    return isCached ? stream.producedTokens : contextOf(stream);
+  }
+
+  #preemptUntilFits(): readonly EngineModelStream[] {
+    const preempted: EngineModelStream[] = [];
+    this.#running.sort((a, b) => a.priority - b.priority);
+    while (
+      this.#running.length > 1 &&
+      this.usedTokens + this.#running.length > this.#options.capacityTokens
+    ) {
+      const victim = this.#running.pop();
+      if (!victim) break;
+      preempted.push(victim);
+      this.#waiting.push(victim);
+    }
+    this.#preemptions += preempted.length;
+    return preempted;
+  }
+}
+
+function contextOf(stream: EngineModelStream): number {
+  return stream.promptTokens + stream.producedTokens;
+}
+
+function isDone(stream: EngineModelStream): boolean {
+  return stream.producedTokens >= stream.outputTokens;
+}
--- /dev/null
+++ b/packages/types/src/engine_service.ts
@@ -0,0 +1,9 @@
+import type { RequestKind } from "./request_kind.js";
+
+/** A service answered by model engines. */
+export interface EngineService {
+  readonly type: "engine";
+  readonly serviceId: string;
+  readonly isIdempotent: boolean;
+  readonly kinds: readonly RequestKind[];
+}
--- /dev/null
+++ b/packages/types/src/mod.ts
@@ -0,0 +1,26 @@
+/** Read-only types that every other package shares. */
+export type { ChatMessage } from "./chat_message.js";
+export type { ConfigDocument } from "./config_document.js";
+export type { ConfigException } from "./config_exception.js";
+export type { EngineService } from "./engine_service.js";
+export type { GenerationEvent } from "./generation_event.js";
+export type { GenerationRequest } from "./generation_request.js";
+export type { Instance } from "./instance.js";
+export type { InstanceList } from "./instance_list.js";
+export type { MemberState } from "./member_state.js";
+export type { ObjectiveWeights } from "./objective_weights.js";
+export type { Outcome } from "./outcome.js";
+export type { PeerIdentity } from "./peer_identity.js";
+export type { PlainService } from "./plain_service.js";
+export type { RequestKind } from "./request_kind.js";
+export type { RequestSettings } from "./request_settings.js";
+export type { Result } from "./result.js";
+export type { Runner } from "./runner.js";
+export type { RunnerLoad } from "./runner_load.js";
+export type { RunnerTarget } from "./runner_target.js";
+export type { Service } from "./service.js";
+export type { ServiceRoute } from "./service_route.js";
+export type { StreamHandle } from "./stream_handle.js";
+export type { SubmissionResult } from "./submission_result.js";
+export type { Team } from "./team.js";
+export type { Ticket } from "./ticket.js";
--- /dev/null
+++ b/packages/types/src/objective_weights.ts
@@ -0,0 +1,7 @@
+/** Weights of the one objective that placement minimises. */
+export interface ObjectiveWeights {
+  readonly stallTime: number;
+  readonly tailLatency: number;
+  readonly preemptions: number;
+  readonly crossRegionTraffic: number;
+}
--- /dev/null
+++ b/packages/types/src/peer_identity.ts
@@ -0,0 +1,5 @@
+/** One process life of an instance; a restart has a new incarnation. */
+export interface PeerIdentity {
+  readonly instanceId: string;
+  readonly incarnation: string;
+}
--- /dev/null
+++ b/packages/types/src/plain_service.ts
@@ -0,0 +1,8 @@
+import type { ServiceRoute } from "./service_route.js";
+
+/** A service answered by plain back ends. */
+export interface PlainService {
+  readonly type: "plain";
+  readonly serviceId: string;
+  readonly routes: readonly ServiceRoute[];
+}
--- /dev/null
+++ b/packages/utils/src/monotonic_ms.ts
@@ -0,0 +1,4 @@
+/** Milliseconds on the monotonic clock; goes on while a process is paused. */
+export function monotonicMs(): number {
+  return performance.now();
+}
--- /dev/null
+++ b/packages/utils/src/settle_within.ts
@@ -0,0 +1,17 @@
+import { sleep } from "./sleep.js";
+
+/** Returns the promise's value, or undefined when time runs out first. */
+export async function settleWithin<Value>(
+  promise: Promise<Value>,
+  timeoutMs: number,
+): Promise<Value | undefined> {
+  const timer = new AbortController();
+  try {
+    return await Promise.race([
+      promise,
+      sleep(timeoutMs, timer.signal).then(() => undefined),
+    ]);
+  } finally {
+    timer.abort();
+  }
+}
