Serve the whole path: entry instance, tickets, gossip, placement, demo

Ruled out: pooled upstream connections (a pooled one may be dead when a non-idempotent call is written; each stream and call has its own connection and "nothing written" is known exactly); owners found by hashing the instance list (two lists, two owners); a store or votes. Change: readers of configuration and instance list, engine and plain clients with typed outcomes, fair queue and memory-aware placement, gossip, two-step tickets with owner and witness, handover, quarantine, orders, and the daemon with entry, check, status, explain and demo. Conclusion: the thin path stands; proofs and measurements come next.

--- /dev/null
+++ b/packages/coordination/src/default_ticket_limits.ts
@@ -0,0 +1,9 @@
+import type { TicketLimits } from "./ticket_limits.js";
+
+/** Limits that suit an entry instance of a few hundred megabytes. */
+export const DEFAULT_TICKET_LIMITS: TicketLimits = {
+  ticketTtlMs: 600_000,
+  retentionMs: 600_000,
+  maxEntries: 50_000,
+  maxResultBytes: 64_000_000,
+};
--- /dev/null
+++ b/packages/coordination/src/is_target_met.ts
@@ -0,0 +1,14 @@
+import type { RunnerLoad, RunnerTarget } from "@jujubeladder/types";
+
+/** True when a runner is in the state that the configuration wants. */
+export function isTargetMet(
+  state: RunnerLoad["state"],
+  target: RunnerTarget,
+): boolean {
+  return (
+    state.model === target.model &&
+    state.version === target.version &&
+    state.role === target.role &&
+    [...state.adapters].sort().join() === [...target.adapters].sort().join()
+  );
+}
--- /dev/null
+++ b/packages/coordination/src/membership.ts
@@ -0,0 +1,246 @@
+import Emittery from "emittery";
+import { create } from "@bufbuild/protobuf";
+import { DigestSchema, type Digest } from "@jujubeladder/protocol";
+import type { Logger } from "@jujubeladder/logger";
+import type { Instance } from "@jujubeladder/types";
+import {
+  describeError,
+  monotonicMs,
+  rankByRendezvous,
+  sleep,
+} from "@jujubeladder/utils";
+import type { GossipState } from "./gossip_state.js";
+import type { PeerDirectory } from "./peer_directory.js";
+import type { PeerState } from "./peer_state.js";
+
+const INTERVAL_MS = 500;
+const NEIGHBOURS = 8;
+const NEAR_FANOUT = 2;
+const CALL_TIMEOUT_MS = 1_500;
+const ALIVE_MS = 4_000;
+const MAX_SUSPICIONS_SENT = 32;
+
+/**
+ * Gossip among instances: each interval, digests are swapped with a few
+ * neighbours and one instance picked from the whole list. Cost does not
+ * grow with the fleet; news reaches all within a few rounds.
+ */
+export class Membership {
+  readonly events = new Emittery<{ merged: undefined }>();
+  readonly #state: GossipState;
+  readonly #directory: PeerDirectory;
+  readonly #listInstances: () => readonly Instance[];
+  readonly #logger: Logger;
+  readonly #peers = new Map<string, PeerState>();
+  readonly #fetching = new Set<string>();
+  #isLeaving = false;
+
+  constructor(
+    state: GossipState,
+    options: {
+      readonly directory: PeerDirectory;
+      readonly listInstances: () => readonly Instance[];
+      readonly logger: Logger;
+    },
+  ) {
+    this.#state = state;
+    this.#directory = options.directory;
+    this.#listInstances = options.listInstances;
+    this.#logger = options.logger;
+  }
+
+  get isLeaving(): boolean {
+    return this.#isLeaving;
+  }
+
+  get availabilityZone(): string {
+    return this.#state.availabilityZone;
+  }
+
+  /** True for a peer in this instance's own region. */
+  isNear(instanceId: string): boolean {
+    const peer = this.#listPeers().find((p) => p.instanceId === instanceId);
+    return peer?.region === this.#state.region;
+  }
+
+  /** Peers heard of within the last seconds, nearest first. */
+  listAlive(): readonly PeerState[] {
+    const sinceMs = monotonicMs() - ALIVE_MS;
+    const alive = [...this.#peers.values()].filter(
+      (peer) => peer.heardAtMs >= sinceMs,
+    );
+    const ranks = this.#rankNeighbours();
+    return alive.sort(
+      (a, b) => rankOf(ranks, a.instanceId) - rankOf(ranks, b.instanceId),
+    );
+  }
+
+  /** Other instances that the platform lists as live. */
+  countListedPeers(): number {
+    return this.#listPeers().filter((peer) => peer.state === "live").length;
+  }
+
+  /** Exchanges digests until the signal aborts. */
+  async run(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      for (const instanceId of this.#pickTargets()) {
+        void this.#exchange(instanceId);
+      }
+      await sleep(INTERVAL_MS * (0.75 + Math.random() / 2), signal);
+    }
+  }
+
+  /** Tells all listed peers at once; waits for those that answer. */
+  async pushToAll(): Promise<void> {
+    const peers = this.#listPeers();
+    await Promise.all(
+      peers.map(async (peer) => this.#exchange(peer.instanceId)),
+    );
+  }
+
+  async leave(): Promise<void> {
+    this.#isLeaving = true;
+    await this.pushToAll();
+  }
+
+  /** Merges a peer's digest and returns this instance's own. */
+  answer(digest: Digest): Digest {
+    void this.#merge(digest);
+    return this.#digest();
+  }
+
+  async #exchange(instanceId: string): Promise<void> {
+    const client = this.#directory.find(instanceId);
+    if (!client) return;
+    try {
+      const answer = await client.gossip(
+        { digest: this.#digest() },
+        { timeoutMs: CALL_TIMEOUT_MS },
+      );
+      if (answer.digest) await this.#merge(answer.digest);
+    } catch (error) {
+      if (!this.#peers.delete(instanceId)) return;
+      this.#logger.warn("peer_unreachable", {
+        peer: instanceId,
+        reason: describeError(error),
+      });
+    }
+  }
+
+  #digest(): Digest {
+    const state = this.#state;
+    return create(DigestSchema, {
+      sender: state.identity,
+      availabilityZone: state.availabilityZone,
+      isLeaving: this.#isLeaving,
+      revision: BigInt(state.revision()),
+      leavingRunners: [...state.leavingRunners.list()],
+      suspicions: state.quarantine
+        .list(MAX_SUSPICIONS_SENT)
+        .map((suspicion) => ({
+          fingerprint: suspicion.fingerprint,
+          lostRunners: [...suspicion.lostRunners],
+          ageMs: Math.round(suspicion.ageMs),
+        })),
+      successions: state.successions.list().map((succession) => ({
+        fromIncarnation: succession.fromIncarnation,
+        successor: succession.successor,
+        ageMs: Math.round(succession.ageMs),
+      })),
+    });
+  }
+
+  async #merge(digest: Digest): Promise<void> {
+    const { sender } = digest;
+    if (!sender) return;
+    const known = this.#peers.get(sender.instanceId);
+    if (known?.incarnation !== sender.incarnation) {
+      this.#logger.info("peer_heard", {
+        peer: sender.instanceId,
+        incarnation: sender.incarnation,
+      });
+    }
+    this.#peers.set(sender.instanceId, {
+      instanceId: sender.instanceId,
+      incarnation: sender.incarnation,
+      availabilityZone: digest.availabilityZone,
+      isLeaving: digest.isLeaving,
+      revision: Number(digest.revision),
+      heardAtMs: monotonicMs(),
+    });
+    const { leavingRunners, quarantine, successions } = this.#state;
+    for (const runnerId of digest.leavingRunners) leavingRunners.note(runnerId);
+    for (const { fingerprint, lostRunners, ageMs } of digest.suspicions) {
+      quarantine.noteLosses(fingerprint, lostRunners, ageMs);
+    }
+    for (const { fromIncarnation, successor, ageMs } of digest.successions) {
+      if (successor) successions.note(fromIncarnation, successor, ageMs);
+    }
+    void this.events.emit("merged");
+    if (Number(digest.revision) > this.#state.revision()) {
+      await this.#fetchDocument(sender.instanceId);
+    }
+  }
+
+  async #fetchDocument(instanceId: string): Promise<void> {
+    if (this.#fetching.has(instanceId)) return;
+    this.#fetching.add(instanceId);
+    try {
+      const answer = await this.#directory
+        .find(instanceId)
+        ?.fetchDocument(
+          { newerThanRevision: BigInt(this.#state.revision()) },
+          { timeoutMs: CALL_TIMEOUT_MS },
+        );
+      if (answer?.documentJson) this.#state.offerDocument(answer.documentJson);
+    } catch (error) {
+      this.#logger.warn("configuration_fetch_failed", {
+        peer: instanceId,
+        reason: describeError(error),
+      });
+    } finally {
+      this.#fetching.delete(instanceId);
+    }
+  }
+
+  #pickTargets(): readonly string[] {
+    const neighbours = [...this.#rankNeighbours().slice(0, NEIGHBOURS)];
+    const near = shuffle(neighbours).slice(0, NEAR_FANOUT);
+    const all = this.#listPeers().map((peer) => peer.instanceId);
+    const far = all[Math.floor(Math.random() * all.length)];
+    return [...new Set(far === undefined ? near : [...near, far])];
+  }
+
+  // Peers of the own region come first, ordered for this instance alone, so
+  // that the choice of witnesses is spread evenly.
+  #rankNeighbours(): readonly string[] {
+    const peers = this.#listPeers();
+    const { region, identity } = this.#state;
+    const ids = (isNear: boolean) =>
+      peers
+        .filter((peer) => (peer.region === region) === isNear)
+        .map((peer) => peer.instanceId);
+    const key = identity.instanceId;
+    return [
+      ...rankByRendezvous(key, ids(true)),
+      ...rankByRendezvous(key, ids(false)),
+    ];
+  }
+
+  #listPeers(): readonly Instance[] {
+    const own = this.#state.identity.instanceId;
+    return this.#listInstances().filter((peer) => peer.instanceId !== own);
+  }
+}
+
+function rankOf(ranks: readonly string[], instanceId: string): number {
+  const index = ranks.indexOf(instanceId);
+  return index === -1 ? ranks.length : index;
+}
+
+function shuffle(ids: readonly string[]): readonly string[] {
+  return ids
+    .map((id) => ({ id, key: Math.random() }))
+    .sort((a, b) => a.key - b.key)
+    .map((entry) => entry.id);
+}
--- /dev/null
+++ b/packages/coordination/src/peer_directory.ts
@@ -0,0 +1,72 @@
+import { createClient, type Client } from "@connectrpc/connect";
+import {
+  createConnectTransport,
+  Http2SessionManager,
+} from "@connectrpc/connect-node";
+import { PeerService } from "@jujubeladder/protocol";
+import type { Instance } from "@jujubeladder/types";
+
+const PING_INTERVAL_MS = 1_000;
+const PING_TIMEOUT_MS = 1_000;
+const IDLE_TIMEOUT_MS = 5_000;
+
+interface Entry {
+  readonly url: string;
+  readonly client: Client<typeof PeerService>;
+  readonly session: Http2SessionManager;
+}
+
+/** Where the instance list says a peer is. */
+type FindInstance = (instanceId: string) => Instance | undefined;
+
+/**
+ * Clients of peers by instance id. Sessions that carry calls are probed, so
+ * that a frozen or silent peer fails its calls within seconds.
+ */
+export class PeerDirectory {
+  readonly #findInstance: FindInstance;
+  readonly #entries = new Map<string, Entry>();
+
+  constructor(findInstance: FindInstance) {
+    this.#findInstance = findInstance;
+  }
+
+  /** Returns a client, or undefined for an instance that is not listed. */
+  find(instanceId: string): Client<typeof PeerService> | undefined {
+    const instance = this.#findInstance(instanceId);
+    if (!instance) {
+      this.#drop(instanceId);
+      return undefined;
+    }
+    const url = `http://${instance.host}:${instance.peerPort}`;
+    const known = this.#entries.get(instanceId);
+    if (known?.url === url) return known.client;
+    this.#drop(instanceId);
+    const entry = connect(url);
+    this.#entries.set(instanceId, entry);
+    return entry.client;
+  }
+
+  close(): void {
+    for (const instanceId of this.#entries.keys()) this.#drop(instanceId);
+  }
+
+  #drop(instanceId: string): void {
+    this.#entries.get(instanceId)?.session.abort();
+    this.#entries.delete(instanceId);
+  }
+}
+
+function connect(url: string): Entry {
+  const session = new Http2SessionManager(url, {
+    pingIntervalMs: PING_INTERVAL_MS,
+    pingTimeoutMs: PING_TIMEOUT_MS,
+    idleConnectionTimeoutMs: IDLE_TIMEOUT_MS,
+  });
+  const transport = createConnectTransport({
+    baseUrl: url,
+    httpVersion: "2",
+    sessionManager: session,
+  });
+  return { url, session, client: createClient(PeerService, transport) };
+}
--- /dev/null
+++ b/packages/coordination/src/submission_body.ts
@@ -0,0 +1,5 @@
+/** The body that a caller sends with a ticket. */
+export interface SubmissionBody {
+  readonly bytes: Uint8Array;
+  readonly contentType: string;
+}
--- /dev/null
+++ b/packages/jujubeladder/src/commands/run_explain.ts
@@ -0,0 +1,20 @@
+import { printAdminAnswer } from "./print_admin_answer.js";
+
+/** `jujubeladder explain`: prints where a request would go, and why. */
+export async function runExplain(options: {
+  readonly url: string;
+  readonly service: string;
+  readonly team: string;
+  readonly kind?: string;
+  readonly promptTokens?: number;
+}): Promise<void> {
+  const query = new URLSearchParams({
+    service: options.service,
+    team: options.team,
+  });
+  if (options.kind !== undefined) query.set("kind", options.kind);
+  if (options.promptTokens !== undefined) {
+    query.set("prompt_tokens", String(options.promptTokens));
+  }
+  await printAdminAnswer(`${options.url}/explain?${query.toString()}`);
+}
--- /dev/null
+++ b/packages/jujubeladder/src/entry/entry_coordination.ts
@@ -0,0 +1,103 @@
+import {
+  DEFAULT_TICKET_LIMITS,
+  Handover,
+  Membership,
+  OwnerLedger,
+  PeerDirectory,
+  TicketService,
+  WitnessClient,
+  WitnessLedger,
+} from "@jujubeladder/coordination";
+import type { Logger } from "@jujubeladder/logger";
+import type { SubmissionResult, Ticket } from "@jujubeladder/types";
+import { SealBox } from "@jujubeladder/utils";
+import type { EntrySettings } from "../settings/entry_settings.js";
+import type { EntryViews } from "./entry_views.js";
+
+const TICKET_PURPOSE = "ticket";
+
+/** Sends a submission to a runner, at most once. */
+type Dispatch = (
+  ticket: Ticket,
+  body: { readonly bytes: Uint8Array; readonly contentType: string },
+) => Promise<SubmissionResult>;
+
+/** Wires the parts that act together with peers. */
+export class EntryCoordination {
+  /** Incarnations that this process answers for. */
+  readonly incarnations: Set<string>;
+  readonly directory: PeerDirectory;
+  readonly membership: Membership;
+  readonly owner: OwnerLedger;
+  readonly witness: WitnessLedger;
+  readonly tickets: TicketService;
+  readonly handover: Handover;
+
+  constructor(
+    settings: EntrySettings,
+    views: EntryViews,
+    options: { readonly logger: Logger; readonly dispatch: Dispatch },
+  ) {
+    const { logger } = options;
+    const { identity, successions } = views;
+    const limits = {
+      ...DEFAULT_TICKET_LIMITS,
+      ticketTtlMs: settings.ticketTtlMs,
+      retentionMs: settings.ticketRetentionMs,
+    };
+    this.incarnations = new Set([identity.incarnation]);
+    this.directory = new PeerDirectory((id) => views.list.findInstance(id));
+    this.membership = new Membership(
+      {
+        identity,
+        availabilityZone: settings.availabilityZone,
+        region: settings.region,
+        leavingRunners: views.leavingRunners,
+        quarantine: views.quarantine,
+        successions,
+        revision: () => views.config.revision,
+        offerDocument: (text) => {
+          views.config.offer(text, "peer");
+        },
+      },
+      {
+        directory: this.directory,
+        listInstances: () => views.list.list.instances,
+        logger,
+      },
+    );
+    this.owner = new OwnerLedger(limits);
+    this.witness = new WitnessLedger(limits);
+    const answersFor = (incarnation: string) =>
+      this.incarnations.has(incarnation);
+    const { directory, membership } = this;
+    this.tickets = new TicketService({
+      identity,
+      limits,
+      sealBox: new SealBox(settings.sealKeys, TICKET_PURPOSE),
+      membership,
+      directory,
+      successions,
+      ledger: this.owner,
+      witness: new WitnessClient({
+        ledger: this.witness,
+        directory,
+        successions,
+        answersFor,
+      }),
+      dispatch: options.dispatch,
+      answersFor,
+      logger,
+    });
+    this.handover = new Handover({
+      identity,
+      incarnations: this.incarnations,
+      owner: this.owner,
+      witness: this.witness,
+      membership,
+      directory,
+      successions,
+      logger,
+    });
+  }
+}
--- /dev/null
+++ b/packages/jujubeladder/src/entry/entry_scheduling.ts
@@ -0,0 +1,69 @@
+import { RetryBudget, Scheduler } from "@jujubeladder/scheduling";
+import type { ObjectiveWeights, Runner } from "@jujubeladder/types";
+import { monotonicMs, sleep } from "@jujubeladder/utils";
+
+const PUMP_INTERVAL_MS = 25;
+
+/** What the schedulers are kept up to date from. */
+interface SchedulingSources {
+  readonly region: string;
+  readonly objective: () => ObjectiveWeights | undefined;
+  readonly listUsable: (serviceId: string) => readonly Runner[];
+  readonly countPeers: () => number;
+}
+
+const NEUTRAL_OBJECTIVE: ObjectiveWeights = {
+  stallTime: 1,
+  tailLatency: 1,
+  preemptions: 1,
+  crossRegionTraffic: 1,
+};
+
+/** The scheduler and the retry budget of each service. */
+export class EntryScheduling {
+  readonly #sources: SchedulingSources;
+  readonly #schedulers = new Map<string, Scheduler>();
+  readonly #budgets = new Map<string, RetryBudget>();
+
+  constructor(sources: SchedulingSources) {
+    this.#sources = sources;
+  }
+
+  schedulerOf(serviceId: string): Scheduler {
+    const known = this.#schedulers.get(serviceId);
+    if (known) return known;
+    const scheduler = new Scheduler({
+      region: this.#sources.region,
+      objective: this.#sources.objective() ?? NEUTRAL_OBJECTIVE,
+      nowMs: monotonicMs,
+      random: Math.random,
+    });
+    this.#schedulers.set(serviceId, scheduler);
+    this.#refresh(serviceId, scheduler);
+    return scheduler;
+  }
+
+  budgetOf(serviceId: string): RetryBudget {
+    const budget = this.#budgets.get(serviceId) ?? new RetryBudget();
+    this.#budgets.set(serviceId, budget);
+    return budget;
+  }
+
+  /** Keeps runners and queues moving until the signal aborts. */
+  async run(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      for (const [serviceId, scheduler] of this.#schedulers) {
+        this.#refresh(serviceId, scheduler);
+        scheduler.pump();
+      }
+      await sleep(PUMP_INTERVAL_MS, signal);
+    }
+  }
+
+  #refresh(serviceId: string, scheduler: Scheduler): void {
+    const objective = this.#sources.objective();
+    if (objective) scheduler.setObjective(objective);
+    scheduler.setPeerCount(this.#sources.countPeers());
+    scheduler.setUsableRunners(this.#sources.listUsable(serviceId));
+  }
+}
--- /dev/null
+++ b/packages/jujubeladder/src/entry/explain_placement.ts
@@ -0,0 +1,37 @@
+import { resolveSettings } from "@jujubeladder/platform";
+import type { PlacementDecision, Scheduler } from "@jujubeladder/scheduling";
+import type { ConfigDocument } from "@jujubeladder/types";
+
+const DEFAULT_PROMPT_TOKENS = 100;
+
+/** Decides a described request without sending it. */
+export function explainPlacement(
+  query: Readonly<Record<string, unknown>>,
+  document: ConfigDocument | undefined,
+  schedulerOf: (serviceId: string) => Scheduler,
+): PlacementDecision | { readonly type: "unknown_service" } {
+  const serviceId = String(query["service"] ?? "");
+  const service = document?.services.find((s) => s.serviceId === serviceId);
+  if (!document || service?.type !== "engine") {
+    return { type: "unknown_service" };
+  }
+  const teamId = String(query["team"] ?? "");
+  const team = document.teams.find((entry) => entry.teamId === teamId);
+  const asked = service.kinds.find((kind) => kind.kindId === query["kind"]);
+  const kind = asked ?? service.kinds[0];
+  if (!kind) return { type: "unknown_service" };
+  const settings = resolveSettings(document, { serviceId, teamId });
+  return schedulerOf(serviceId).decide({
+    requestId: "explain",
+    serviceId,
+    teamId,
+    teamWeight: team?.weight ?? 1,
+    kindId: kind.kindId,
+    isShort: kind.isShort,
+    promptTokens: Number(query["prompt_tokens"] ?? DEFAULT_PROMPT_TOKENS),
+    maxTokens: settings.maxTokens,
+    prefixKey: "",
+    settings,
+    excludedRunnerIds: new Set(),
+  });
+}
--- /dev/null
+++ b/packages/jujubeladder/src/http/authenticate.ts
@@ -0,0 +1,42 @@
+import type { Request } from "express";
+import type { ConfigDocument, Result, Team } from "@jujubeladder/types";
+import type { ConfigView } from "@jujubeladder/platform";
+import type { ApiError } from "./api_error.js";
+
+const BEARER = /^Bearer (.+)$/i;
+
+/** A team and the document under which its request is admitted. */
+interface Authenticated {
+  readonly team: Team;
+  readonly document: ConfigDocument;
+}
+
+/** Finds the team of a request by its bearer token. */
+export function authenticate(
+  req: Request,
+  configView: ConfigView,
+): Result<Authenticated, ApiError> {
+  const { document } = configView;
+  if (!document) {
+    return {
+      ok: false,
+      error: {
+        statusCode: 503,
+        type: "not_ready",
+        message: "No configuration is in force yet",
+      },
+    };
+  }
+  const token = BEARER.exec(req.get("authorization") ?? "")?.[1] ?? "";
+  const teamId = configView.findTeamId(token);
+  const team = document.teams.find((entry) => entry.teamId === teamId);
+  if (team) return { ok: true, value: { team, document } };
+  return {
+    ok: false,
+    error: {
+      statusCode: 401,
+      type: "unknown_team",
+      message: "The bearer token belongs to no team",
+    },
+  };
+}
--- /dev/null
+++ b/packages/jujubeladder/src/http/caller_context.ts
@@ -0,0 +1,19 @@
+import type { ConfigView, InstanceListView } from "@jujubeladder/platform";
+import type { TicketService } from "@jujubeladder/coordination";
+import type { Logger } from "@jujubeladder/logger";
+import type { SealBox } from "@jujubeladder/utils";
+import type { Metrics } from "../metrics/metrics.js";
+import type { GenerationRelay } from "../relay/generation_relay.js";
+import type { PlainRelay } from "../relay/plain_relay.js";
+
+/** What the handlers of callers' requests work with. */
+export interface CallerContext {
+  readonly configView: ConfigView;
+  readonly listView: InstanceListView;
+  readonly relay: GenerationRelay;
+  readonly plainRelay: PlainRelay;
+  readonly tickets: TicketService;
+  readonly handleBox: SealBox;
+  readonly metrics: Metrics;
+  readonly logger: Logger;
+}
--- /dev/null
+++ b/packages/jujubeladder/src/http/handle_chat.ts
@@ -0,0 +1,85 @@
+import type { Request, Response } from "express";
+import { resolveSettings } from "@jujubeladder/platform";
+import { createId } from "@jujubeladder/utils";
+import { authenticate } from "./authenticate.js";
+import type { CallerContext } from "./caller_context.js";
+import { parseEventId } from "./parse_event_id.js";
+import { parseGenerationWork } from "./parse_generation_work.js";
+import { sendError } from "./send_error.js";
+import { sendStream } from "./send_stream.js";
+import { sendWhole } from "./send_whole.js";
+
+/** Answers a chat completion, or reads a running one on. */
+export async function handleChat(
+  context: CallerContext,
+  req: Request,
+  res: Response,
+): Promise<void> {
+  const authenticated = authenticate(req, context.configView);
+  if (!authenticated.ok) {
+    sendError(res, authenticated.error);
+    return;
+  }
+  const gone = new AbortController();
+  res.on("close", () => {
+    gone.abort();
+  });
+  const { team, document } = authenticated.value;
+  const lastEventId = req.get("last-event-id");
+  if (lastEventId !== undefined) {
+    await resumeChat(context, res, {
+      lastEventId,
+      teamId: team.teamId,
+      signal: gone.signal,
+    });
+    return;
+  }
+  const work = parseGenerationWork(req.body, document, team);
+  if (!work.ok) {
+    sendError(res, work.error);
+    return;
+  }
+  const { requestId, serviceId, isStreamed } = work.value.request;
+  const events = context.relay.run(work.value, gone.signal);
+  const options = { requestId, serviceId, metrics: context.metrics };
+  if (isStreamed) await sendStream(res, events, options);
+  else await sendWhole(res, events, options);
+}
+
+async function resumeChat(
+  context: CallerContext,
+  res: Response,
+  options: {
+    readonly lastEventId: string;
+    readonly teamId: string;
+    readonly signal: AbortSignal;
+  },
+): Promise<void> {
+  const { teamId, signal, lastEventId } = options;
+  const opened = parseEventId(lastEventId, context.handleBox);
+  const { document } = context.configView;
+  if (!opened || !document || opened.handle.teamId !== teamId) {
+    sendError(res, {
+      statusCode: 400,
+      type: "invalid_event_id",
+      message: "The Last-Event-ID was not given to this team",
+    });
+    return;
+  }
+  const { serviceId } = opened.handle;
+  const settings = resolveSettings(document, { serviceId, teamId });
+  const { silenceMs, resumeWindowMs } = settings;
+  // The runner may have moved, and the handle's address may be another
+  // instance's view of it.
+  const listed = context.listView.findRunner(opened.handle.runnerId);
+  const handle = listed
+    ? { ...opened.handle, host: listed.host, port: listed.port }
+    : opened.handle;
+  const events = context.relay.resume(handle, opened.offset + 1, {
+    silenceMs,
+    resumeWindowMs,
+    signal,
+  });
+  const { metrics } = context;
+  await sendStream(res, events, { requestId: createId(), serviceId, metrics });
+}
--- /dev/null
+++ b/packages/jujubeladder/src/http/handle_run_ticket.ts
@@ -0,0 +1,35 @@
+import type { Request, Response } from "express";
+import { authenticate } from "./authenticate.js";
+import type { CallerContext } from "./caller_context.js";
+import { sendError } from "./send_error.js";
+import { sendSubmissionResult } from "./send_submission_result.js";
+
+/** Runs a submission by its ticket, at most once however often it is sent. */
+export async function handleRunTicket(
+  context: CallerContext,
+  req: Request,
+  res: Response,
+): Promise<void> {
+  const authenticated = authenticate(req, context.configView);
+  if (!authenticated.ok) {
+    sendError(res, authenticated.error);
+    return;
+  }
+  const { teamId } = authenticated.value.team;
+  const sealed = String(req.params["ticket"]);
+  const ticket = context.tickets.open(sealed, teamId);
+  if (!ticket.ok) {
+    sendError(res, {
+      statusCode: ticket.error === "forged" ? 400 : 403,
+      type: "invalid_ticket",
+      message: "The ticket was not given to this team",
+    });
+    return;
+  }
+  const result = await context.tickets.run(ticket.value, sealed, {
+    bytes: Buffer.isBuffer(req.body) ? req.body : new Uint8Array(),
+    contentType: req.get("content-type") ?? "application/octet-stream",
+  });
+  context.metrics.countOutcome(result.outcome);
+  sendSubmissionResult(res, result);
+}
--- /dev/null
+++ b/packages/jujubeladder/src/relay/generation_reader.ts
@@ -0,0 +1,171 @@
+import type { GenerationEvent, StreamHandle } from "@jujubeladder/types";
+import {
+  EngineClient,
+  type EngineStream,
+  type OpenOutcome,
+} from "@jujubeladder/upstream";
+import {
+  computeBackoffMs,
+  Deadline,
+  monotonicMs,
+  sleep,
+  type SealBox,
+} from "@jujubeladder/utils";
+import type { Metrics } from "../metrics/metrics.js";
+import type { AttemptEnd } from "./attempt_end.js";
+
+const STALL_MS = 500;
+const REFUSED_CODE = "ECONNREFUSED";
+
+/** What reading one generation needs besides its handle. */
+interface ReaderOptions {
+  readonly silenceMs: number;
+  readonly resumeWindowMs: number;
+  readonly firstOffset: number;
+  readonly sealBox: SealBox;
+  readonly metrics: Metrics;
+  readonly signal: AbortSignal;
+  readonly onProgress: (producedTokens: number) => void;
+}
+
+/** A stream to read on from, or why there is none. */
+type Resumption =
+  | { readonly type: "stream"; readonly stream: EngineStream }
+  | Extract<AttemptEnd, { type: "lost" }>;
+
+/**
+ * Reads one generation to its end over as many connections as it takes.
+ * Every token is yielded once and in order; a silent or broken connection
+ * is dropped and the same generation read on from the next token.
+ */
+export class GenerationReader {
+  readonly #handle: StreamHandle;
+  readonly #sealedHandle: string;
+  readonly #client: EngineClient;
+  readonly #options: ReaderOptions;
+  #nextOffset: number;
+  #lastTokenAtMs: number | undefined;
+
+  constructor(handle: StreamHandle, options: ReaderOptions) {
+    this.#handle = handle;
+    this.#sealedHandle = options.sealBox.seal(handle);
+    this.#client = new EngineClient(handle);
+    this.#options = options;
+    this.#nextOffset = options.firstOffset;
+  }
+
+  get nextOffset(): number {
+    return this.#nextOffset;
+  }
+
+  /** Reads from an open stream, or without one from the offset on. */
+  async *read(
+    opened?: EngineStream,
+  ): AsyncGenerator<GenerationEvent, AttemptEnd, void> {
+    let stream = opened;
+    for (;;) {
+      if (!stream) {
+        const resumption = await this.#resume();
+        if (resumption.type === "lost") return resumption;
+        stream = resumption.stream;
+      }
+      try {
+        if (yield* this.#readConnection(stream)) return { type: "finished" };
+      } finally {
+        stream.close();
+      }
+      stream = undefined;
+      if (this.#options.signal.aborted) return lost("the caller left", false);
+    }
+  }
+
+  // True when the generation has been read to its end.
+  async *#readConnection(
+    stream: EngineStream,
+  ): AsyncGenerator<GenerationEvent, boolean, void> {
+    for await (const event of stream.events) {
+      switch (event.type) {
+        case "token":
+          if (event.offset < this.#nextOffset) continue;
+          if (event.offset > this.#nextOffset) return false;
+          this.#nextOffset += 1;
+          this.#noteToken();
+          yield {
+            type: "token",
+            text: event.text,
+            offset: event.offset,
+            handle: `${this.#sealedHandle}.${event.offset}`,
+          };
+          continue;
+        case "preempted":
+          this.#options.metrics.count("preemptions_seen");
+          continue;
+        case "finished":
+          if (event.tokenCount !== this.#nextOffset) return false;
+          yield {
+            type: "finished",
+            finishReason: event.finishReason,
+            tokenCount: event.tokenCount,
+          };
+          return true;
+        case "broken":
+          return false;
+      }
+    }
+    return false;
+  }
+
+  async #resume(): Promise<Resumption> {
+    const { signal, silenceMs, resumeWindowMs } = this.#options;
+    const deadline = new Deadline(resumeWindowMs);
+    for (let attempt = 0; ; attempt += 1) {
+      this.#options.metrics.count("resumes");
+      const outcome = await this.#client.resumeGeneration(
+        this.#handle.generationId,
+        { offset: this.#nextOffset, silenceMs, signal },
+      );
+      const resumption = toResumption(outcome);
+      if (resumption) return resumption;
+      if (signal.aborted) return lost("the caller left", false);
+      if (deadline.hasPassed) return lost("the runner is unreachable", false);
+      await sleep(computeBackoffMs(attempt), signal);
+    }
+  }
+
+  #noteToken(): void {
+    const { metrics, onProgress } = this.#options;
+    const nowMs = monotonicMs();
+    if (this.#lastTokenAtMs !== undefined) {
+      const gapMs = nowMs - this.#lastTokenAtMs;
+      metrics.record("token_gap_ms", gapMs);
+      if (gapMs > STALL_MS) metrics.record("stall_ms", gapMs);
+    }
+    this.#lastTokenAtMs = nowMs;
+    metrics.count("tokens");
+    onProgress(this.#nextOffset);
+  }
+}
+
+// Undefined means that another try may succeed.
+function toResumption(outcome: OpenOutcome): Resumption | undefined {
+  switch (outcome.type) {
+    case "opened":
+      return { type: "stream", stream: outcome.stream };
+    case "missing":
+      return lost("the runner does not know the generation", true);
+    case "unreachable":
+      return outcome.reason === REFUSED_CODE
+        ? lost("the runner is gone", true)
+        : undefined;
+    case "refused":
+    case "unknown":
+      return undefined;
+  }
+}
+
+function lost(
+  reason: string,
+  isCrash: boolean,
+): Extract<AttemptEnd, { type: "lost" }> {
+  return { type: "lost", outcome: "ran_incomplete", reason, isCrash };
+}
--- /dev/null
+++ b/packages/jujubeladder/src/relay/plain_call.ts
@@ -0,0 +1,11 @@
+/** A call of a plain service, after validation. */
+export interface PlainCall {
+  readonly requestId: string;
+  readonly serviceId: string;
+  readonly teamId: string;
+  readonly method: string;
+  readonly path: string;
+  readonly contentType: string | undefined;
+  readonly body: Uint8Array;
+  readonly isIdempotent: boolean;
+}
--- /dev/null
+++ b/packages/platform/src/config_view.ts
@@ -0,0 +1,97 @@
+import Emittery from "emittery";
+import type { ConfigDocument } from "@jujubeladder/types";
+import type { Logger } from "@jujubeladder/logger";
+import { hashToken } from "@jujubeladder/utils";
+import { parseConfigDocument } from "./parse_config_document.js";
+
+/** Where a document came from. */
+type ConfigSource = "service" | "peer";
+
+/**
+ * The configuration in force: the highest accepted revision seen from any
+ * source. A lower revision is ignored, whoever sends it.
+ */
+export class ConfigView {
+  readonly events = new Emittery<{ changed: ConfigDocument }>();
+  readonly #logger: Logger;
+  #document: ConfigDocument | undefined;
+  #text = "";
+  #teamIdsByToken: ReadonlyMap<string, string> = new Map();
+  #lastRefusedRevision = 0;
+
+  constructor(logger: Logger) {
+    this.#logger = logger;
+  }
+
+  get document(): ConfigDocument | undefined {
+    return this.#document;
+  }
+
+  get revision(): number {
+    return this.#document?.revision ?? 0;
+  }
+
+  /** The accepted document as published, for peers that are behind. */
+  get text(): string {
+    return this.#text;
+  }
+
+  /** Returns the team of a bearer token, or undefined. */
+  findTeamId(token: string): string | undefined {
+    return this.#teamIdsByToken.get(hashToken(token));
+  }
+
+  /** Takes a document in force when it is valid and newer. */
+  offer(text: string, source: ConfigSource): boolean {
+    const parsed = parseConfigDocument(text);
+    if (!parsed.ok) {
+      const [first] = parsed.error;
+      const revision = readRevision(text);
+      if (revision !== this.#lastRefusedRevision) {
+        this.#lastRefusedRevision = revision;
+        this.#logger.warn("configuration_refused", {
+          source,
+          revision,
+          key: first?.key,
+          problem: first?.problem,
+        });
+      }
+      return false;
+    }
+    const document = parsed.value;
+    if (document.revision <= this.revision) {
+      if (document.revision < this.revision) {
+        this.#logger.warn("configuration_ignored", {
+          source,
+          revision: document.revision,
+          revision_in_force: this.revision,
+        });
+      }
+      return false;
+    }
+    this.#accept(document, text);
+    this.#logger.info("configuration_in_force", {
+      source,
+      revision: document.revision,
+      published_at_ms: document.publishedAtMs,
+    });
+    return true;
+  }
+
+  #accept(document: ConfigDocument, text: string): void {
+    this.#document = document;
+    this.#text = text;
+    this.#teamIdsByToken = new Map(
+      document.teams.map((team) => [team.tokenSha256, team.teamId]),
+    );
+    void this.events.emit("changed", document);
+  }
+}
+
+function readRevision(text: string): number {
+  try {
+    return Number((JSON.parse(text) as { revision?: unknown }).revision) || 0;
+  } catch {
+    return 0;
+  }
+}
--- /dev/null
+++ b/packages/scheduling/src/growth_curve.ts
@@ -0,0 +1,57 @@
+import { HORIZONS_TOKENS } from "./horizons.js";
+import type { LengthDistribution } from "./length_distribution.js";
+
+/**
+ * Mean and variance of the memory that streams hold at each horizon, in
+ * tokens. A stream counts at a horizon only if it still runs by then.
+ */
+export class GrowthCurve {
+  readonly #mean = new Float64Array(HORIZONS_TOKENS.length);
+  readonly #variance = new Float64Array(HORIZONS_TOKENS.length);
+
+  /** Adds `count` like streams of the given context and progress. */
+  addStreams(
+    distribution: LengthDistribution,
+    stream: {
+      readonly contextTokens: number;
+      readonly producedTokens: number;
+      readonly count: number;
+    },
+  ): void {
+    HORIZONS_TOKENS.forEach((horizon, index) => {
+      const survival = distribution.survival(stream.producedTokens, horizon);
+      const held = stream.contextTokens + horizon;
+      const variance = survival * (1 - survival) * held * held;
+      this.#add(index, stream.count * survival * held, stream.count * variance);
+    });
+  }
+
+  /** Adds another curve, `weight` times. */
+  addCurve(other: GrowthCurve, weight = 1): void {
+    HORIZONS_TOKENS.forEach((_, index) => {
+      const mean = other.#mean[index] ?? 0;
+      const variance = other.#variance[index] ?? 0;
+      this.#add(index, weight * mean, weight * variance);
+    });
+  }
+
+  /** Largest value over the horizons, `deviations` above the mean. */
+  peakTokens(deviations: number, added?: GrowthCurve): number {
+    let peak = 0;
+    for (let index = 0; index < HORIZONS_TOKENS.length; index += 1) {
+      let mean = this.#mean[index] ?? 0;
+      let variance = this.#variance[index] ?? 0;
+      if (added) {
+        mean += added.#mean[index] ?? 0;
+        variance += added.#variance[index] ?? 0;
+      }
+      peak = Math.max(peak, mean + deviations * Math.sqrt(variance));
+    }
+    return peak;
+  }
+
+  #add(index: number, mean: number, variance: number): void {
+    this.#mean[index] = (this.#mean[index] ?? 0) + mean;
+    this.#variance[index] = (this.#variance[index] ?? 0) + variance;
+  }
+}
--- /dev/null
+++ b/packages/upstream/src/runner_address.ts
@@ -0,0 +1,5 @@
+/** Where a runner listens. */
+export interface RunnerAddress {
+  readonly host: string;
+  readonly port: number;
+}
--- /dev/null
+++ b/packages/upstream/src/single_use_client.ts
@@ -0,0 +1,39 @@
+import { buildConnector, Client } from "undici";
+import type { RunnerAddress } from "./runner_address.js";
+
+const CONNECT_TIMEOUT_MS = 1_000;
+
+/**
+ * A client on a connection of its own, which no earlier request has used.
+ * `isConnected` stays false while no byte can have been written.
+ */
+export class SingleUseClient {
+  readonly client: Client;
+  #isConnected = false;
+
+  constructor(
+    address: RunnerAddress,
+    options: { readonly headersTimeoutMs: number; readonly silenceMs: number },
+  ) {
+    const connect = buildConnector({ timeout: CONNECT_TIMEOUT_MS });
+    this.client = new Client(`http://${address.host}:${address.port}`, {
+      headersTimeout: options.headersTimeoutMs,
+      bodyTimeout: options.silenceMs,
+      pipelining: 1,
+      connect: (target, callback) => {
+        connect(target, (...result) => {
+          if (result[0] === null) this.#isConnected = true;
+          callback(...result);
+        });
+      },
+    });
+  }
+
+  get isConnected(): boolean {
+    return this.#isConnected;
+  }
+
+  close(): void {
+    void this.client.destroy().catch(() => undefined);
+  }
+}
