Prove at-most-once and true outcomes on real processes

Change: a harness of processes joined by links that stall, cut, go silent or deaf; a trace interpreter; a checker over answers and ground truth; 16 cases.

--- /dev/null
+++ b/packages/proofs/src/__tests__/harness/link.ts
@@ -0,0 +1,99 @@
+import { once } from "node:events";
+import {
+  connect,
+  createServer,
+  type AddressInfo,
+  type Server,
+  type Socket,
+} from "node:net";
+import type { LinkMode } from "./link_mode.js";
+
+interface Pair {
+  readonly near: Socket;
+  readonly far: Socket;
+  isDead: boolean;
+}
+
+/** A TCP link whose faults a trace controls. */
+export class Link {
+  readonly #targetPort: number;
+  readonly #pairs = new Set<Pair>();
+  #server: Server | undefined;
+  #mode: LinkMode = "open";
+  #port = 0;
+
+  constructor(targetPort: number) {
+    this.#targetPort = targetPort;
+  }
+
+  get port(): number {
+    return this.#port;
+  }
+
+  async start(): Promise<void> {
+    this.#server = createServer((near) => {
+      this.#accept(near);
+    });
+    this.#server.listen(0, "127.0.0.1");
+    await once(this.#server, "listening");
+    this.#port = (this.#server.address() as AddressInfo).port;
+  }
+
+  setMode(mode: LinkMode): void {
+    this.#mode = mode === "silent" ? "open" : mode;
+    for (const pair of this.#pairs) {
+      // What was cut or silenced has lost bytes and can never go on.
+      if (mode === "silent" || mode === "cut") pair.isDead = true;
+      this.#apply(pair);
+    }
+  }
+
+  stop(): void {
+    this.#server?.close();
+    for (const pair of this.#pairs) {
+      pair.near.destroy();
+      pair.far.destroy();
+    }
+  }
+
+  #accept(near: Socket): void {
+    const far = connect(this.#targetPort, "127.0.0.1");
+    const pair: Pair = { near, far, isDead: this.#mode === "cut" };
+    this.#pairs.add(pair);
+    const close = () => {
+      this.#pairs.delete(pair);
+      near.destroy();
+      far.destroy();
+    };
+    near.on("error", () => {
+      far.resetAndDestroy();
+    });
+    // A refused or reset far end must look refused or reset here.
+    far.on("error", () => {
+      near.resetAndDestroy();
+    });
+    near.on("close", close);
+    far.on("close", close);
+    near.on("end", () => {
+      far.end();
+    });
+    far.on("end", () => {
+      near.end();
+    });
+    near.on("data", (bytes: Buffer) => {
+      if (!pair.isDead) far.write(bytes);
+    });
+    far.on("data", (bytes: Buffer) => {
+      if (!pair.isDead && this.#mode !== "deaf") near.write(bytes);
+    });
+    this.#apply(pair);
+  }
+
+  #apply(pair: Pair): void {
+    const isHeld = this.#mode === "stalled" && !pair.isDead;
+    for (const socket of [pair.near, pair.far]) {
+      if (isHeld) socket.pause();
+      else socket.resume();
+    }
+  }
+}
--- /dev/null
+++ b/packages/proofs/src/__tests__/replay/ground_truth.ts
@@ -0,0 +1,12 @@
+import type { GenerationTruth, PlainRun } from "@jujubeladder/standins";
+
+/** What the stand-ins really did. */
+export interface GroundTruth {
+  readonly runs: readonly PlainRun[];
+  readonly generations: readonly (GenerationTruth & {
+    readonly runnerId: string;
+  })[];
+  readonly engineVersions: ReadonlyMap<string, string>;
+  readonly crashedRunners: readonly string[];
+  readonly weightStoreRefused: number;
+}
--- /dev/null
+++ b/packages/proofs/src/__tests__/replay/read_ground_truth.ts
@@ -0,0 +1,44 @@
+import type { GenerationTruth, PlainRun } from "@jujubeladder/standins";
+import type { Fleet } from "../harness/fleet.js";
+import type { GroundTruth } from "./ground_truth.js";
+
+const CRASH_EXIT_CODE = 70;
+
+interface EngineTruth {
+  readonly state: { readonly version: string };
+  readonly generations: readonly GenerationTruth[];
+}
+
+/** Reads what all living stand-ins did. */
+export async function readGroundTruth(fleet: Fleet): Promise<GroundTruth> {
+  const runs: PlainRun[] = [];
+  const generations: (GenerationTruth & { runnerId: string })[] = [];
+  const engineVersions = new Map<string, string>();
+  const crashedRunners: string[] = [];
+  for (const name of fleet.backendNames) {
+    const { exitCode } = fleet.child(name);
+    if (exitCode === CRASH_EXIT_CODE) crashedRunners.push(name);
+    if (exitCode !== undefined) continue;
+    if (name.startsWith("plain")) {
+      const truth = await fleet.truth<{ runs: readonly PlainRun[] }>(name);
+      runs.push(...truth.runs);
+      continue;
+    }
+    const truth = await fleet.truth<EngineTruth>(name);
+    engineVersions.set(name, truth.state.version);
+    for (const generation of truth.generations) {
+      generations.push({ ...generation, runnerId: name });
+    }
+  }
+  const platform = await fleet.truth<{ weightStore: { refused: number } }>(
+    "platform",
+  );
+  const weightStoreRefused = platform.weightStore.refused;
+  return {
+    runs,
+    generations,
+    engineVersions,
+    crashedRunners,
+    weightStoreRefused,
+  };
+}
--- /dev/null
+++ b/packages/proofs/src/__tests__/replay/recorded_stream.ts
@@ -0,0 +1,12 @@
+/** What a caller received of one streamed answer. */
+export interface RecordedStream {
+  readonly name: string;
+  readonly content: string;
+  readonly entry: string;
+  readonly tokens: string[];
+  lastEventId: string;
+  statusCode: number;
+  /** How the stream ended; undefined while it runs. */
+  end: "clean" | "error" | "broken" | undefined;
+  errorType: string;
+}
--- /dev/null
+++ b/packages/proofs/src/__tests__/replay/replay.ts
@@ -0,0 +1,283 @@
+import { sleep } from "@jujubeladder/utils";
+import { request } from "undici";
+import type { Fleet } from "../harness/fleet.js";
+import { waitUntil } from "../harness/wait_until.js";
+import { Caller } from "./caller.js";
+import { readGroundTruth } from "./read_ground_truth.js";
+import { readStatus } from "./read_status.js";
+import type { RecordedAnswer } from "./recorded_answer.js";
+import type { Recording } from "./recording.js";
+import type { TraceAct } from "./trace_act.js";
+
+const DEFAULT_TEAM = "team-a";
+
+/** Replays the acts of a trace against a fleet and records the answers. */
+export class Replay {
+  readonly recording: Recording = {
+    answers: new Map(),
+    streams: new Map(),
+    leftAtMs: new Map(),
+    violations: [],
+  };
+  readonly #fleet: Fleet;
+  readonly #caller = new Caller(DEFAULT_TEAM);
+  readonly #tickets = new Map<string, string>();
+  readonly #pending = new Map<string, Promise<void>>();
+  readonly #aborts = new Map<string, AbortController>();
+
+  constructor(fleet: Fleet) {
+    this.#fleet = fleet;
+  }
+
+  async perform(act: TraceAct): Promise<void> {
+    const fleet = this.#fleet;
+    switch (act.act) {
+      case "mint": {
+        const ticket = await this.#caller.mint(fleet.callerUrl(act.via));
+        if (ticket === "") throw new Error(`No ticket from ${act.via}`);
+        this.#tickets.set(act.as, ticket);
+        return;
+      }
+      case "put":
+        this.#answer(act.as, this.#put(act));
+        return;
+      case "call": {
+        const { as: name, method, path, body = "" } = act;
+        const url = fleet.callerUrl(act.via);
+        const call = { name, method, path, body };
+        this.#answer(act.as, this.#caller.call(url, call));
+        return;
+      }
+      case "whole": {
+        const url = fleet.callerUrl(act.via);
+        for (const name of copyNames(act)) {
+          const { content } = act;
+          this.#answer(name, this.#caller.whole(url, { name, content }));
+        }
+        return;
+      }
+      case "stream":
+        for (const name of copyNames(act)) {
+          this.#stream(name, act.via, { content: act.content });
+        }
+        return;
+      case "reconnect": {
+        const before = this.recording.streams.get(act.stream);
+        if (!before) throw new Error(`There is no stream ${act.stream}`);
+        const { content, lastEventId } = before;
+        this.#stream(act.as, act.via, { content, lastEventId });
+        return;
+      }
+      case "disconnect":
+        this.#aborts.get(act.stream)?.abort();
+        await this.#pending.get(act.stream);
+        return;
+      case "await":
+        for (const name of toList(act.of)) await this.#pending.get(name);
+        return;
+      case "await_tokens":
+        await waitUntil(`${act.of} has ${act.count} tokens`, () => {
+          const stream = this.recording.streams.get(act.of);
+          return (stream?.tokens.length ?? 0) >= act.count;
+        });
+        return;
+      case "await_runs":
+        await waitUntil(`${act.count} runs`, async () => {
+          const truth = await readGroundTruth(fleet);
+          return truth.runs.length >= act.count;
+        });
+        return;
+      case "await_log":
+        await waitUntil(`${act.of} logs ${act.text}`, () =>
+          fleet.child(act.of).output.includes(act.text),
+        );
+        return;
+      case "await_revision":
+        await this.#awaitRevision(act);
+        return;
+      case "kill":
+      case "freeze":
+      case "thaw":
+      case "terminate":
+        for (const name of this.#processes(act.process)) {
+          fleet.child(name).signal(toSignal(act.act));
+        }
+        return;
+      case "start":
+        for (const name of toList(act.process)) await this.#start(name);
+        return;
+      case "await_exit":
+        for (const name of toList(act.process)) {
+          await fleet.child(name).waitForExit();
+        }
+        return;
+      case "link":
+        await this.#setLinks(act);
+        return;
+      case "publish": {
+        const views = this.#entries(act.to);
+        if (act.text === undefined) {
+          await fleet.publish(act.changes ?? {}, views);
+        } else {
+          await fleet.publishText(act.text, views);
+        }
+        return;
+      }
+      case "platform": {
+        const { configMode, listMode } = act;
+        for (const view of this.#entries(act.of)) {
+          await fleet.setPlatform(view, {
+            ...(configMode === undefined ? {} : { configMode }),
+            ...(listMode === undefined ? {} : { listMode }),
+          });
+        }
+        return;
+      }
+      case "list":
+        if (act.state === "leaving") this.#noteLeft(act.member);
+        await fleet.setMember(act.member, act.state);
+        return;
+      case "leave": {
+        this.#noteLeft(act.runner);
+        const url = `${fleet.backendUrl(act.runner)}/admin/leave`;
+        await (await request(url, { method: "POST" })).body.dump();
+        return;
+      }
+      case "sleep":
+        await sleep(act.ms);
+        return;
+    }
+  }
+
+  /** Waits for all answers that are still to come. */
+  async settle(): Promise<void> {
+    await Promise.all(this.#pending.values());
+  }
+
+  #noteLeft(runner: string): void {
+    const known = this.recording.leftAtMs.get(runner);
+    this.recording.leftAtMs.set(runner, known ?? Date.now());
+  }
+
+  async #put(act: Extract<TraceAct, { act: "put" }>): Promise<RecordedAnswer> {
+    return await this.#caller.put(this.#fleet.callerUrl(act.via), {
+      name: act.as,
+      ticket: this.#tickets.get(act.ticket) ?? act.ticket,
+      body: act.body ?? `submission of ${act.ticket}`,
+    });
+  }
+
+  #answer(name: string, answer: Promise<RecordedAnswer>): void {
+    const done = answer.then((value) => {
+      this.recording.answers.set(name, value);
+    });
+    this.#pending.set(name, done);
+  }
+
+  #stream(
+    name: string,
+    via: string,
+    options: { readonly content: string; readonly lastEventId?: string },
+  ): void {
+    const record = {
+      name,
+      content: options.content,
+      entry: via,
+      tokens: [],
+      lastEventId: "",
+      statusCode: 0,
+      end: undefined,
+      errorType: "",
+    };
+    const abort = new AbortController();
+    this.recording.streams.set(name, record);
+    this.#aborts.set(name, abort);
+    const { lastEventId } = options;
+    const done = this.#caller.stream(this.#fleet.callerUrl(via), record, {
+      signal: abort.signal,
+      ...(lastEventId === undefined ? {} : { lastEventId }),
+    });
+    this.#pending.set(name, done);
+  }
+
+  async #start(name: string): Promise<void> {
+    if (name.startsWith("engine")) {
+      await this.#fleet.startEngine(name);
+      return;
+    }
+    this.#fleet.startEntry(name);
+    await this.#fleet.showLists();
+    await this.#fleet.waitUntilReady(name);
+  }
+
+  async #awaitRevision(
+    act: Extract<TraceAct, { act: "await_revision" }>,
+  ): Promise<void> {
+    const sinceMs = Date.now();
+    const names = this.#entries(act.of);
+    await waitUntil(`revision ${act.revision} of ${names.join()}`, async () => {
+      const statuses = await Promise.all(
+        names.map(async (name) => readStatus(this.#fleet, name)),
+      );
+      return statuses.every((status) => status.revision >= act.revision);
+    });
+    const tookMs = Date.now() - sinceMs;
+    if (act.withinMs !== undefined && tookMs > act.withinMs) {
+      this.recording.violations.push(
+        `revision ${act.revision} took ${tookMs} ms, not ${act.withinMs}`,
+      );
+    }
+  }
+
+  async #setLinks(act: Extract<TraceAct, { act: "link" }>): Promise<void> {
+    for (const from of this.#entries(act.from)) {
+      for (const to of this.#processes(act.to)) {
+        if (from === to) continue;
+        await this.#fleet.setLink(from, to, act.mode);
+        if (act.isBothWays !== true || !to.startsWith("entry")) continue;
+        await this.#fleet.setLink(to, from, act.mode);
+      }
+    }
+  }
+
+  #entries(names: string | readonly string[]): readonly string[] {
+    return names === "*" ? this.#fleet.entryNames : toList(names);
+  }
+
+  #processes(names: string | readonly string[]): readonly string[] {
+    if (names === "engines") {
+      return this.#fleet.backendNames.filter((n) => n.startsWith("engine"));
+    }
+    if (names === "plains") {
+      return this.#fleet.backendNames.filter((n) => n.startsWith("plain"));
+    }
+    return this.#entries(names);
+  }
+}
+
+function toList(names: string | readonly string[]): readonly string[] {
+  return typeof names === "string" ? [names] : names;
+}
+
+function copyNames(act: {
+  readonly as: string;
+  readonly copies?: number;
+}): readonly string[] {
+  if (act.copies === undefined) return [act.as];
+  return Array.from({ length: act.copies }, (_, i) => `${act.as}-${i + 1}`);
+}
+
+function toSignal(
+  act: "kill" | "freeze" | "thaw" | "terminate",
+): "SIGKILL" | "SIGSTOP" | "SIGCONT" | "SIGTERM" {
+  switch (act) {
+    case "kill":
+      return "SIGKILL";
+    case "freeze":
+      return "SIGSTOP";
+    case "thaw":
+      return "SIGCONT";
+    case "terminate":
+      return "SIGTERM";
+  }
+}
--- /dev/null
+++ b/packages/proofs/src/__tests__/replay/stated_outcome.ts
@@ -0,0 +1,45 @@
+/** What a trace states besides the promises that always hold. */
+export type StatedOutcome =
+  | {
+      readonly state: "outcome";
+      readonly of: string;
+      readonly in: readonly string[];
+    }
+  | { readonly state: "same_answer"; readonly of: readonly string[] }
+  | {
+      readonly state: "runs";
+      readonly mark: string;
+      readonly min: number;
+      readonly max: number;
+    }
+  | {
+      readonly state: "whole_stream";
+      /** A stream and those that read it on, in order. */
+      readonly of: readonly string[];
+      readonly tokens: number;
+    }
+  | {
+      readonly state: "stream_end";
+      readonly of: string;
+      readonly in: readonly string[];
+    }
+  | {
+      readonly state: "revision";
+      readonly of: string;
+      readonly is: number;
+    }
+  | {
+      readonly state: "no_start_after";
+      readonly runner: string;
+      /** Name of the step label after which nothing may start. */
+      readonly boundMs: number;
+    }
+  | { readonly state: "exit_code"; readonly of: string; readonly is: number }
+  | {
+      readonly state: "engine_state";
+      readonly runner: string;
+      readonly version: string;
+    }
+  | { readonly state: "no_cut_by_order" }
+  | { readonly state: "weight_store_refused"; readonly max: number }
+  | { readonly state: "runners_crashed"; readonly max: number };
--- /dev/null
+++ b/packages/proofs/src/__tests__/replay/trace_act.ts
@@ -0,0 +1,88 @@
+import type { ConfigDocument } from "@jujubeladder/types";
+import type { LinkMode } from "../harness/link_mode.js";
+
+/** A name, several, or all (`*`) of the processes of a kind. */
+type Names = string | readonly string[];
+
+/** One step of a trace. Requests run on while later steps follow. */
+export type TraceAct =
+  | { readonly act: "mint"; readonly via: string; readonly as: string }
+  | {
+      readonly act: "put";
+      readonly via: string;
+      readonly ticket: string;
+      readonly as: string;
+      readonly body?: string;
+    }
+  | {
+      readonly act: "call";
+      readonly via: string;
+      readonly method: "GET" | "POST";
+      readonly path: string;
+      readonly as: string;
+      readonly body?: string;
+    }
+  | {
+      readonly act: "stream" | "whole";
+      readonly via: string;
+      readonly content: string;
+      readonly as: string;
+      readonly team?: string;
+      readonly copies?: number;
+    }
+  | {
+      readonly act: "reconnect";
+      readonly stream: string;
+      readonly via: string;
+      readonly as: string;
+    }
+  | { readonly act: "disconnect"; readonly stream: string }
+  | { readonly act: "await"; readonly of: Names }
+  | {
+      readonly act: "await_tokens";
+      readonly of: string;
+      readonly count: number;
+    }
+  | { readonly act: "await_runs"; readonly count: number }
+  | {
+      readonly act: "await_log";
+      readonly of: string;
+      readonly text: string;
+    }
+  | {
+      readonly act: "await_revision";
+      readonly of: Names;
+      readonly revision: number;
+      readonly withinMs?: number;
+    }
+  | {
+      readonly act: "kill" | "freeze" | "thaw" | "terminate" | "start";
+      readonly process: Names;
+    }
+  | { readonly act: "await_exit"; readonly process: Names }
+  | {
+      readonly act: "link";
+      readonly from: Names;
+      readonly to: Names;
+      readonly mode: LinkMode;
+      readonly isBothWays?: boolean;
+    }
+  | {
+      readonly act: "publish";
+      readonly to: Names;
+      readonly changes?: Partial<ConfigDocument>;
+      readonly text?: string;
+    }
+  | {
+      readonly act: "platform";
+      readonly of: Names;
+      readonly configMode?: string;
+      readonly listMode?: string;
+    }
+  | {
+      readonly act: "list";
+      readonly member: string;
+      readonly state: "live" | "leaving" | "gone";
+    }
+  | { readonly act: "leave"; readonly runner: string }
+  | { readonly act: "sleep"; readonly ms: number };
