--- a/packages/coordination/src/membership.ts
+++ b/packages/coordination/src/membership.ts
@@ -75,11 +75,6 @@
     );
   }
 
-  /** Other instances that the platform lists as live. */
-  countListedPeers(): number {
-    return this.#listPeers().filter((peer) => peer.state === "live").length;
-  }
-
   /** Exchanges digests until the signal aborts. */
   async run(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
--- a/packages/jujubeladder/src/entry/entry_instance.ts
+++ b/packages/jujubeladder/src/entry/entry_instance.ts
@@ -71,7 +71,8 @@
       region: settings.region,
       objective: () => this.#views.config.document?.objective,
       listUsable: (serviceId) => this.#access.listUsable(serviceId),
-      countPeers: () => this.#coordination.membership.countListedPeers(),
+      instanceId: settings.instanceId,
+      listInstanceIds: () => this.#listLiveInstanceIds(),
     });
     this.#plainRelay = new PlainRelay({
       region: settings.region,
@@ -273,6 +274,12 @@
     );
   }
 
+  #listLiveInstanceIds(): readonly string[] {
+    return this.#views.list.list.instances
+      .filter((instance) => instance.state === "live")
+      .map((instance) => instance.instanceId);
+  }
+
   #listEngineServiceIds(): readonly string[] {
     const services = this.#views.config.document?.services ?? [];
     return services
--- a/packages/jujubeladder/src/entry/entry_scheduling.ts
+++ b/packages/jujubeladder/src/entry/entry_scheduling.ts
@@ -9,7 +9,9 @@
   readonly region: string;
   readonly objective: () => ObjectiveWeights | undefined;
   readonly listUsable: (serviceId: string) => readonly Runner[];
-  readonly countPeers: () => number;
+  readonly instanceId: string;
+  /** Live instances, this one among them. */
+  readonly listInstanceIds: () => readonly string[];
 }
 
 const NEUTRAL_OBJECTIVE: ObjectiveWeights = {
@@ -36,6 +38,7 @@
       region: this.#sources.region,
       objective: this.#sources.objective() ?? NEUTRAL_OBJECTIVE,
       nowMs: monotonicMs,
+      wallClockMs: Date.now,
       random: Math.random,
     });
     this.#schedulers.set(serviceId, scheduler);
@@ -63,7 +66,8 @@
   #refresh(serviceId: string, scheduler: Scheduler): void {
     const objective = this.#sources.objective();
     if (objective) scheduler.setObjective(objective);
-    scheduler.setPeerCount(this.#sources.countPeers());
+    const { instanceId, listInstanceIds } = this.#sources;
+    scheduler.setInstances(instanceId, listInstanceIds());
     scheduler.setUsableRunners(this.#sources.listUsable(serviceId));
   }
 }
--- a/packages/scheduling/src/growth_curve.ts
+++ b/packages/scheduling/src/growth_curve.ts
@@ -35,10 +35,25 @@
     });
   }
 
-  /** Largest value over the horizons, `deviations` above the mean. */
-  peakTokens(deviations: number, added?: GrowthCurve): number {
+  /** Adds to one horizon, by its index. */
+  addAt(
+    index: number,
+    added: { readonly mean: number; readonly variance: number },
+  ): void {
+    this.#add(index, added.mean, added.variance);
+  }
+
+  /**
+   * Largest value, `deviations` above the mean, over the first `horizons`
+   * points.
+   */
+  peakTokens(
+    deviations: number,
+    horizons: number,
+    added?: GrowthCurve,
+  ): number {
     let peak = 0;
-    for (let index = 0; index < HORIZONS_TOKENS.length; index += 1) {
+    for (let index = 0; index < horizons; index += 1) {
       let mean = this.#mean[index] ?? 0;
       let variance = this.#variance[index] ?? 0;
       if (added) {
--- a/packages/scheduling/src/runner_book.ts
+++ b/packages/scheduling/src/runner_book.ts
@@ -1,6 +1,6 @@
 import type { RunnerLoad } from "@jujubeladder/types";
 import { GrowthCurve } from "./growth_curve.js";
-import type { LengthDistribution } from "./length_distribution.js";
+import type { GrowthProfile } from "./growth_profile.js";
 import type { StreamLease } from "./stream_lease.js";
 
 const REPORT_LAG_MS = 500;
@@ -29,8 +29,8 @@
     return this.#load;
   }
 
-  get leaseCount(): number {
-    return this.#leases.size;
+  get leases(): ReadonlySet<StreamLease> {
+    return this.#leases;
   }
 
   reportAgeMs(nowMs: number): number {
@@ -72,7 +72,7 @@
   }
 
   /** Predicted memory of all streams that run there now. */
-  curve(fallback: LengthDistribution, nowMs: number): GrowthCurve {
+  curve(profile: GrowthProfile, nowMs: number): GrowthCurve {
     if (this.#curve && nowMs - this.#curveAtMs < CURVE_MAX_AGE_MS) {
       return this.#curve;
     }
@@ -82,24 +82,22 @@
       const stream = { contextTokens, producedTokens, count: 1 };
       curve.addStreams(lease.distribution, stream);
     }
-    this.#addOthers(curve, fallback);
+    this.#addOthers(curve, profile);
     this.#curve = curve;
     this.#curveAtMs = nowMs;
     return curve;
   }
 
-  // Streams of other instances are known only as a count and a total.
-  #addOthers(curve: GrowthCurve, fallback: LengthDistribution): void {
+  // Waiting streams hold no memory now, and will again.
+  #addOthers(curve: GrowthCurve, profile: GrowthProfile): void {
     if (!this.#load) return;
-    const reportedOwn = this.#listReported();
-    const total = this.#load.runningStreams + this.#load.waitingStreams;
-    const count = total - reportedOwn.length;
-    if (count <= 0) return;
-    const ownTokens = reportedOwn.reduce((sum, l) => sum + l.contextTokens, 0);
-    const tokens = Math.max(0, this.#load.usedTokens - ownTokens);
-    const contextTokens = tokens / count;
-    const producedTokens = contextTokens / 2;
-    curve.addStreams(fallback, { contextTokens, producedTokens, count });
+    const { usedTokens, runningStreams, waitingStreams } = this.#load;
+    const meanTokens = usedTokens / Math.max(1, runningStreams);
+    const own = this.#listReported();
+    const ownTokens = own.reduce((sum, l) => sum + l.contextTokens, 0);
+    const streams = runningStreams + waitingStreams - own.length;
+    const tokens = usedTokens + waitingStreams * meanTokens - ownTokens;
+    profile.addTo(curve, streams, Math.max(0, tokens));
   }
 
   #listReported(): readonly StreamLease[] {
--- a/packages/scheduling/src/scheduler.ts
+++ b/packages/scheduling/src/scheduler.ts
@@ -3,17 +3,21 @@
 import type { Admission } from "./admission.js";
 import { choosePlacement } from "./choose_placement.js";
 import { FairQueue } from "./fair_queue.js";
+import { GrowthCurve } from "./growth_curve.js";
+import { GrowthProfile } from "./growth_profile.js";
 import { LengthModel } from "./length_model.js";
 import type { PlacementDecision } from "./placement_decision.js";
 import type { QueuedRequest } from "./queued_request.js";
 import { RunnerBook } from "./runner_book.js";
 import type { SchedulingRequest } from "./scheduling_request.js";
+import { TurnTable } from "./turn_table.js";
 import { StreamLease } from "./stream_lease.js";
 
 const REPORT_WINDOW_MS = 750;
 const MAX_QUEUED = 2_000;
 const MIN_TEAM_QUEUE = 32;
 const RETRY_AFTER_MS = 1_000;
+const OBSERVE_INTERVAL_MS = 200;
 
 /** A runner that may be used, as the instance list shows it. */
 interface UsableRunner {
@@ -21,25 +25,38 @@
   readonly region: string;
 }
 
+/** A placement that peers' equal placements are judged by. */
+interface RecentPlacement {
+  readonly atMs: number;
+  readonly lease: StreamLease;
+}
+
 /** Admits and places the generations of one service at one instance. */
 export class Scheduler {
   readonly lengths = new LengthModel();
   readonly #queue = new FairQueue();
+  readonly #profile = new GrowthProfile();
   readonly #books = new Map<string, RunnerBook>();
-  readonly #recentPlacementsAtMs: number[] = [];
+  readonly #recent: RecentPlacement[] = [];
+  readonly #turns = new TurnTable();
+  readonly #wallClockMs: () => number;
   readonly #nowMs: () => number;
   readonly #random: () => number;
   readonly #region: string;
   #objective: ObjectiveWeights;
   #peerCount = 0;
+  #observedAtMs = 0;
   #usable: readonly RunnerBook[] = [];
 
   constructor(options: {
     readonly region: string;
     readonly objective: ObjectiveWeights;
     readonly nowMs: () => number;
+    /** Wall clock, shared with other instances as far as clocks agree. */
+    readonly wallClockMs: () => number;
     readonly random: () => number;
   }) {
+    this.#wallClockMs = options.wallClockMs;
     this.#region = options.region;
     this.#objective = options.objective;
     this.#nowMs = options.nowMs;
@@ -54,9 +71,10 @@
     this.#objective = objective;
   }
 
-  /** Other instances that place on the same runners. */
-  setPeerCount(peerCount: number): void {
-    this.#peerCount = peerCount;
+  /** Sets the instances, this one among them, that place here. */
+  setInstances(ownId: string, instanceIds: readonly string[]): void {
+    this.#peerCount = instanceIds.filter((id) => id !== ownId).length;
+    this.#turns.setInstances(ownId, instanceIds);
   }
 
   /** Sets which runners may take new work. */
@@ -64,7 +82,7 @@
     this.#usable = runners.map((runner) => this.#findOrAddBook(runner));
     const usableIds = new Set(runners.map((runner) => runner.runnerId));
     for (const [runnerId, book] of this.#books) {
-      if (!usableIds.has(runnerId) && book.leaseCount === 0) {
+      if (!usableIds.has(runnerId) && book.leases.size === 0) {
         this.#books.delete(runnerId);
       }
     }
@@ -107,6 +125,7 @@
   /** Places what fits now and refuses what has waited too long. */
   pump(): void {
     const nowMs = this.#nowMs();
+    this.#observe(nowMs);
     const expired = this.#queue.removeWhere(
       ({ request, queuedAtMs }) =>
         nowMs - queuedAtMs > request.settings.queueTimeoutMs,
@@ -119,17 +138,29 @@
 
   /** Says where a request would go now, without sending it. */
   decide(request: SchedulingRequest): PlacementDecision {
+    const wallClockMs = this.#wallClockMs();
     return choosePlacement(request, this.#usable, {
       nowMs: this.#nowMs(),
       region: this.#region,
       objective: this.#objective,
       distribution: this.lengths.find(request),
+      profile: this.#profile,
       deviations: probit(request.settings.admissionQuantile),
-      unseenStreams: this.#estimateUnseenStreams(),
+      ...this.#estimateUnseen(),
       random: this.#random,
+      isOwnTurn: (runnerId) => this.#turns.isOwn(runnerId, wallClockMs),
     });
   }
 
+  #observe(nowMs: number): void {
+    if (nowMs - this.#observedAtMs < OBSERVE_INTERVAL_MS) return;
+    this.#observedAtMs = nowMs;
+    const leases = [...this.#books.values()].flatMap((book) => [
+      ...book.leases,
+    ]);
+    this.#profile.observe(leases);
+  }
+
   #tryPlace(item: QueuedRequest): boolean {
     const decision = this.decide(item.request);
     switch (decision.type) {
@@ -159,7 +190,7 @@
       },
     });
     book.addLease(lease);
-    this.#recentPlacementsAtMs.push(startedAtMs);
+    this.#recent.push({ atMs: startedAtMs, lease });
     const queuedMs = startedAtMs - item.queuedAtMs;
     item.onAdmission({
       type: "admitted",
@@ -195,12 +226,21 @@
 
   // Peers see the same load, so they are taken to place as fast as this
   // instance did since the reports were made, spread over all runners.
-  #estimateUnseenStreams(): number {
+  #estimateUnseen(): {
+    readonly unseen: GrowthCurve;
+    readonly unseenStreams: number;
+  } {
     const sinceMs = this.#nowMs() - REPORT_WINDOW_MS;
-    const recent = this.#recentPlacementsAtMs;
-    while (recent[0] !== undefined && recent[0] < sinceMs) recent.shift();
-    const runnerCount = Math.max(1, this.#usable.length);
-    return (recent.length * this.#peerCount) / runnerCount;
+    const recent = this.#recent;
+    while (recent[0] !== undefined && recent[0].atMs < sinceMs) recent.shift();
+    const weight = this.#peerCount / Math.max(1, this.#usable.length);
+    const unseen = new GrowthCurve();
+    for (const { lease } of recent) {
+      const { distribution, promptTokens } = lease;
+      const stream = { contextTokens: promptTokens, producedTokens: 0 };
+      unseen.addStreams(distribution, { ...stream, count: weight });
+    }
+    return { unseen, unseenStreams: weight * recent.length };
   }
 
   #findOrAddBook(runner: UsableRunner): RunnerBook {
