Test callers, ledgers, scheduler; free listeners of slow callers

The back-pressure test printed MaxListenersExceededWarning: each time a caller's buffer was full, one "close" listener stayed on the response. Failed first: "244 listeners", Total: 1 Passed: 0. After: Passed: 1. Ruled out: raising the limit of listeners (the list grows with the stream).

--- /dev/null
+++ b/packages/coordination/src/__tests__/quarantine.test.ts
@@ -0,0 +1,29 @@
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { Quarantine } from "../quarantine.js";
+
+test("takes losses of two different runners", () => {
+  const quarantine = new Quarantine();
+  assert.is(quarantine.noteLosses("f", ["r1"]), true);
+  assert.is(quarantine.noteLosses("f", ["r1"]), false);
+  assert.is(quarantine.status("f").type, "suspect");
+  quarantine.noteLosses("f", ["r2"]);
+  assert.is(quarantine.status("f").type, "quarantined");
+});
+
+test("a suspect that was served is clear until another loss", () => {
+  const quarantine = new Quarantine();
+  quarantine.noteLosses("f", ["r1"]);
+  quarantine.noteServed("f");
+  assert.is(quarantine.status("f").type, "clear");
+  quarantine.noteLosses("f", ["r2"]);
+  assert.is(quarantine.status("f").type, "suspect");
+});
+
+test("fades", () => {
+  const quarantine = new Quarantine();
+  quarantine.noteLosses("f", ["r1", "r2"], 700_000);
+  assert.is(quarantine.status("f").type, "clear");
+});
+
+test.run();
--- /dev/null
+++ b/packages/coordination/src/__tests__/runner_health.test.ts
@@ -0,0 +1,48 @@
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import type { Runner } from "@jujubeladder/types";
+import { RunnerHealth } from "../runner_health.js";
+
+const FAILURES = 3;
+
+function createRunner(runnerId: string, availabilityZone: string): Runner {
+  return {
+    runnerId,
+    availabilityZone,
+    serviceId: "s",
+    host: "127.0.0.1",
+    port: 1,
+    region: "r",
+    state: "live",
+  };
+}
+
+const RUNNERS = [
+  createRunner("a1", "a"),
+  createRunner("a2", "a"),
+  createRunner("a3", "a"),
+  createRunner("b1", "b"),
+];
+
+function fail(health: RunnerHealth, runnerId: string): void {
+  for (let count = 0; count < FAILURES; count += 1) {
+    health.noteFailure(runnerId);
+  }
+}
+
+test("ejects one failing runner", () => {
+  const health = new RunnerHealth();
+  fail(health, "a1");
+  const usable = health.filterUsable(RUNNERS).map((r) => r.runnerId);
+  assert.equal(usable, ["a2", "a3", "b1"]);
+  health.noteSuccess("a1");
+  assert.is(health.filterUsable(RUNNERS).length, RUNNERS.length);
+});
+
+test("does not condemn a zone that fails as a whole", () => {
+  const health = new RunnerHealth();
+  for (const runnerId of ["a1", "a2", "a3"]) fail(health, runnerId);
+  assert.is(health.filterUsable(RUNNERS).length, RUNNERS.length);
+});
+
+test.run();
--- a/packages/jujubeladder/src/http/sse_writer.ts
+++ b/packages/jujubeladder/src/http/sse_writer.ts
@@ -51,7 +51,16 @@
   async #send(text: string): Promise<void> {
     this.#wroteAtMs = monotonicMs();
     if (this.#res.destroyed || this.#res.write(text)) return;
-    await Promise.race([once(this.#res, "drain"), once(this.#res, "close")]);
+    const settled = new AbortController();
+    const { signal } = settled;
+    try {
+      await Promise.race([
+        once(this.#res, "drain", { signal }),
+        once(this.#res, "close", { signal }),
+      ]);
+    } finally {
+      settled.abort();
+    }
   }
 
   #beat(): void {
--- /dev/null
+++ b/packages/platform/src/__tests__/config_view.test.ts
@@ -0,0 +1,46 @@
+import fc from "fast-check";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { Logger } from "@jujubeladder/logger";
+import { createDocument } from "../__fixtures__/create_document.js";
+import { ConfigView } from "../config_view.js";
+
+const SEED = 7;
+
+const anyDocument = fc
+  .record({
+    revision: fc.integer({ min: 1, max: 4 }),
+    publishedAtMs: fc.integer({ min: 0, max: 2 }),
+    weightStoreLoadsPerMinute: fc.integer({ min: 1, max: 3 }),
+  })
+  .map((changes) => JSON.stringify(createDocument(changes)));
+
+test("ends alike whatever order the documents come in", () => {
+  fc.assert(
+    fc.property(fc.array(anyDocument, { minLength: 1 }), (texts) => {
+      const forward = new ConfigView(new Logger({}));
+      const backward = new ConfigView(new Logger({}));
+      for (const text of texts) forward.offer(text, "service");
+      for (const text of [...texts].reverse()) backward.offer(text, "peer");
+      assert.is(forward.hash, backward.hash);
+    }),
+    { seed: SEED },
+  );
+});
+
+test("never goes back", () => {
+  fc.assert(
+    fc.property(fc.array(anyDocument), (texts) => {
+      const view = new ConfigView(new Logger({}));
+      let before = 0;
+      for (const text of texts) {
+        view.offer(text, "peer");
+        assert.ok(view.revision >= before);
+        before = view.revision;
+      }
+    }),
+    { seed: SEED },
+  );
+});
+
+test.run();
--- /dev/null
+++ b/packages/utils/src/__tests__/rank_by_rendezvous.test.ts
@@ -0,0 +1,24 @@
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { rankByRendezvous } from "../rank_by_rendezvous.js";
+
+const IDS = ["a", "b", "c", "d", "e"];
+
+test("ranks alike whatever the order of the ids", () => {
+  const ranked = rankByRendezvous("key", IDS);
+  assert.equal(rankByRendezvous("key", [...IDS].reverse()), ranked);
+});
+
+test("keeps the order of the others when one leaves", () => {
+  const ranked = rankByRendezvous("key", IDS);
+  const without = rankByRendezvous(
+    "key",
+    IDS.filter((id) => id !== ranked[1]),
+  );
+  assert.equal(
+    without,
+    ranked.filter((id) => id !== ranked[1]),
+  );
+});
+
+test.run();
