--- a/packages/coordination/src/order_keeper.ts
+++ b/packages/coordination/src/order_keeper.ts
@@ -10,6 +10,7 @@
 import { OrderSchedule } from "./order_schedule.js";
 
 const INTERVAL_MS = 50;
+const IDLE_INTERVAL_MS = 250;
 const MAX_READ_AGE_MS = 500;
 const STAND_IN_DELAY_MS = 3_000;
 
@@ -57,7 +58,8 @@
     while (!signal.aborted) {
       const document = this.#parts.document();
       if (document) await this.#visitAll(document);
-      await sleep(INTERVAL_MS, signal);
+      const isIdle = this.#unmetSinceMs.size === 0;
+      await sleep(isIdle ? IDLE_INTERVAL_MS : INTERVAL_MS, signal);
     }
   }
 
--- a/packages/jujubeladder/src/entry/entry_scheduling.ts
+++ b/packages/jujubeladder/src/entry/entry_scheduling.ts
@@ -3,6 +3,7 @@
 import { monotonicMs, sleep } from "@jujubeladder/utils";
 
 const PUMP_INTERVAL_MS = 25;
+const IDLE_MS = 100;
 
 /** What the schedulers are kept up to date from. */
 interface SchedulingSources {
@@ -59,10 +60,14 @@
         this.#refresh(serviceId, scheduler);
         scheduler.pump();
       }
-      await sleep(PUMP_INTERVAL_MS, signal);
+      await sleep(this.#hasQueue() ? PUMP_INTERVAL_MS : IDLE_MS, signal);
     }
   }
 
+  #hasQueue(): boolean {
+    return [...this.#schedulers.values()].some((s) => s.queueSize > 0);
+  }
+
   #refresh(serviceId: string, scheduler: Scheduler): void {
     const objective = this.#sources.objective();
     if (objective) scheduler.setObjective(objective);
--- a/packages/proofs/src/__tests__/harness/fleet.ts
+++ b/packages/proofs/src/__tests__/harness/fleet.ts
@@ -117,6 +117,13 @@
     await this.#waitUntilAcquainted(present);
   }
 
+  /** Bytes that have passed between entries, both ways. */
+  get peerBytes(): number {
+    return [...this.#links]
+      .filter(([key]) => key.includes(">entry"))
+      .reduce((sum, [, link]) => sum + link.bytes, 0);
+  }
+
   /** Starts an entry's process, listed from then on. */
   async startEntry(name: string): Promise<void> {
     for (const link of this.#linksTo(name)) await link.start();
--- a/packages/proofs/src/__tests__/harness/link.ts
+++ b/packages/proofs/src/__tests__/harness/link.ts
@@ -16,6 +16,7 @@
   #server: Server | undefined;
   #mode: LinkMode = "open";
   #port = 0;
+  #bytes = 0;
 
   constructor(targetPort: number) {
     this.#targetPort = targetPort;
@@ -25,6 +26,11 @@
     return this.#port;
   }
 
+  /** Bytes carried so far, both ways. */
+  get bytes(): number {
+    return this.#bytes;
+  }
+
   /** Listens; also again after `refuse`, at the same port. */
   async start(): Promise<void> {
     if (this.#server) return;
@@ -84,9 +90,11 @@
       near.end();
     });
     near.on("data", (bytes: Buffer) => {
+      this.#bytes += bytes.length;
       if (!pair.isDead) far.write(bytes);
     });
     far.on("data", (bytes: Buffer) => {
+      this.#bytes += bytes.length;
       if (!pair.isDead && this.#mode !== "deaf") near.write(bytes);
     });
     this.#apply(pair);
--- a/packages/proofs/src/__tests__/prove.ts
+++ b/packages/proofs/src/__tests__/prove.ts
@@ -1,11 +1,14 @@
 import { rmSync } from "node:fs";
 import process from "node:process";
 import { loadKnownRed } from "./load_known_red.js";
+import { generateTrace } from "./replay/generate_trace.js";
 import { loadTraces } from "./replay/load_traces.js";
 import { runTrace } from "./replay/run_trace.js";
 import type { Trace } from "./replay/trace.js";
 
 const PARALLEL_CASES = 3;
+const FIXED_SEEDS = [1, 2, 3, 4, 5, 6];
+const SEEDED_CASE = /^combined\/seed-(\d+)$/;
 
 /** Cases, violations and failed cases of one promise. */
 interface Tally {
@@ -38,6 +41,7 @@
   }
   print(`case=${name} result=failed known_red=${isKnownRed} logs=${folder}`);
   for (const violation of violations) print(`  violation: ${violation}`);
+  print(`  again: npm run prove -- ${name}`);
   if (isKnownRed) return;
   failed += 1;
   if (!tally) return;
@@ -45,8 +49,18 @@
   tally.failed += 1;
 }
 
+// The fixed seeds, or the one that is asked for by name.
+function listTraces(): readonly Trace[] {
+  const asked = wanted.flatMap((word) => {
+    const seed = SEEDED_CASE.exec(word)?.[1];
+    return seed === undefined ? [] : [Number(seed)];
+  });
+  const seeds = asked.length > 0 ? asked : FIXED_SEEDS;
+  return [...loadTraces(), ...seeds.map(generateTrace)];
+}
+
 for (const line of knownRed.values()) print(`known_red: ${line}`);
-const traces = loadTraces().filter(
+const traces = listTraces().filter(
   (trace) =>
     wanted.length === 0 ||
     wanted.some((word) => `${trace.promise}/${trace.case}`.startsWith(word)),
--- a/packages/proofs/src/measure/main.ts
+++ b/packages/proofs/src/measure/main.ts
@@ -1,9 +1,14 @@
 import process from "node:process";
 import { cac } from "cac";
 import { DEPLOYMENTS } from "./deployments.js";
+import { measureDecisionCost } from "./measure_decision_cost.js";
 import { measureDeployment } from "./measure_deployment.js";
+import { measureDocumentCost } from "./measure_document_cost.js";
+import { measureEntryCost } from "./measure_entry_cost.js";
+import { measureFleetCost } from "./measure_fleet_cost.js";
 
 const DEFAULT_SEEDS = "1,2,3";
+const DEFAULT_FLEETS = [3, 9, 27];
 
 function print(line: string): void {
   process.stdout.write(`${line}\n`);
@@ -21,5 +26,18 @@
       measureDeployment(deployment, seeds, print);
     }
   });
+cli
+  .command("capacity", "Measure the slopes that docs/CAPACITY.md rests on")
+  .action(async () => {
+    measureDecisionCost(print);
+    measureDocumentCost(print);
+    await measureEntryCost(print);
+    await measureFleetCost(DEFAULT_FLEETS, print);
+  });
+cli
+  .command("fleet <sizes>", "Measure the control cost of fleets, by commas")
+  .action(async (sizes: string) => {
+    await measureFleetCost(String(sizes).split(",").map(Number), print);
+  });
 cli.help();
 cli.parse();
--- /dev/null
+++ b/packages/proofs/src/measure/measure_document_cost.ts
@@ -0,0 +1,35 @@
+import { Logger } from "@jujubeladder/logger";
+import { ConfigView } from "@jujubeladder/platform";
+import { hashToken, monotonicMs } from "@jujubeladder/utils";
+import { createConfig } from "../__tests__/harness/create_config.js";
+
+const TEAM_COUNTS = [10, 1_000, 25_000];
+const REPEATS = 5;
+
+/** Measures a document's size and the cost of taking it, by teams. */
+export function measureDocumentCost(print: (line: string) => void): void {
+  for (const teamCount of TEAM_COUNTS) {
+    const teams = Array.from({ length: teamCount }, (_, index) => ({
+      teamId: `team-${index}`,
+      weight: 1,
+      tokenSha256: hashToken(String(index)),
+    }));
+    globalThis.gc?.();
+    const heapBefore = process.memoryUsage().heapUsed;
+    const view = new ConfigView(new Logger({}));
+    let bytes = 0;
+    const startedAtMs = monotonicMs();
+    for (let revision = 1; revision <= REPEATS; revision += 1) {
+      const text = JSON.stringify(createConfig({ revision, teams }));
+      bytes = Buffer.byteLength(text);
+      view.offer(text, "service");
+    }
+    const costMs = (monotonicMs() - startedAtMs) / REPEATS;
+    globalThis.gc?.();
+    const heapBytes = process.memoryUsage().heapUsed - heapBefore;
+    print(
+      `document teams=${teamCount} bytes=${bytes} ` +
+        `take_ms=${costMs.toFixed(2)} heap_bytes=${heapBytes}`,
+    );
+  }
+}
