Do not blame a runner for callers that leave

Cause: found while reading: a caller's disconnect ended an attempt as "lost", so that it counted as a failure of the runner; three in a row eject a healthy one. Failed first: streams/callers_that_leave_do_not_blame_the_runner: "entry-1 logged event=runner_lost", 0 passed, 1 failed. Ruled out: ignoring aborted attempts in RunnerHealth (the log line and the outcome count were wrong as well). Change: an attempt ends as "abandoned" when its caller left; whole answers that nobody can read on are cancelled at the runner, and so are attempts that are started anew elsewhere. The four handlers share authenticateOrRefuse. After: npm run prove -- streams/callers streams/runner: 4 passed, 0 failed. Conclusion: mended; the cancel itself has no proof yet (docs/promises.md).

--- /dev/null
+++ b/packages/jujubeladder/src/http/authenticate_or_refuse.ts
@@ -0,0 +1,17 @@
+import type { Request, Response } from "express";
+import type { ConfigDocument, Team } from "@jujubeladder/types";
+import type { ConfigView } from "@jujubeladder/platform";
+import { authenticate } from "./authenticate.js";
+import { sendError } from "./send_error.js";
+
+/** Returns the team of a request, or answers with why there is none. */
+export function authenticateOrRefuse(
+  req: Request,
+  res: Response,
+  configView: ConfigView,
+): { readonly team: Team; readonly document: ConfigDocument } | undefined {
+  const authenticated = authenticate(req, configView);
+  if (authenticated.ok) return authenticated.value;
+  sendError(res, authenticated.error);
+  return undefined;
+}
--- a/packages/jujubeladder/src/http/handle_chat.ts
+++ b/packages/jujubeladder/src/http/handle_chat.ts
@@ -1,7 +1,7 @@
 import type { Request, Response } from "express";
 import { resolveSettings } from "@jujubeladder/platform";
 import { createId } from "@jujubeladder/utils";
-import { authenticate } from "./authenticate.js";
+import { authenticateOrRefuse } from "./authenticate_or_refuse.js";
 import type { CallerContext } from "./caller_context.js";
 import { parseEventId } from "./parse_event_id.js";
 import { parseGenerationWork } from "./parse_generation_work.js";
@@ -15,16 +15,13 @@
   req: Request,
   res: Response,
 ): Promise<void> {
-  const authenticated = authenticate(req, context.configView);
-  if (!authenticated.ok) {
-    sendError(res, authenticated.error);
-    return;
-  }
+  const caller = authenticateOrRefuse(req, res, context.configView);
+  if (!caller) return;
   const gone = new AbortController();
   res.on("close", () => {
     gone.abort();
   });
-  const { team, document } = authenticated.value;
+  const { team, document } = caller;
   const lastEventId = req.get("last-event-id");
   if (lastEventId !== undefined) {
     await resumeChat(context, res, {
--- a/packages/jujubeladder/src/http/handle_mint_ticket.ts
+++ b/packages/jujubeladder/src/http/handle_mint_ticket.ts
@@ -1,6 +1,6 @@
 import type { Request, Response } from "express";
 import { z } from "zod";
-import { authenticate } from "./authenticate.js";
+import { authenticateOrRefuse } from "./authenticate_or_refuse.js";
 import type { CallerContext } from "./caller_context.js";
 import { findRoute } from "./find_route.js";
 import { sendError } from "./send_error.js";
@@ -19,11 +19,8 @@
   req: Request,
   res: Response,
 ): void {
-  const authenticated = authenticate(req, context.configView);
-  if (!authenticated.ok) {
-    sendError(res, authenticated.error);
-    return;
-  }
+  const caller = authenticateOrRefuse(req, res, context.configView);
+  if (!caller) return;
   const parsed = mintSchema.safeParse(req.body);
   if (!parsed.success) {
     const [issue] = parsed.error.issues;
@@ -35,7 +32,7 @@
     return;
   }
   const { service: serviceId, method, path } = parsed.data;
-  const { team, document } = authenticated.value;
+  const { team, document } = caller;
   if (!findRoute(document, { serviceId, method, path })) {
     sendError(res, {
       statusCode: 404,
--- a/packages/jujubeladder/src/http/handle_plain.ts
+++ b/packages/jujubeladder/src/http/handle_plain.ts
@@ -1,7 +1,7 @@
 import type { Request, Response } from "express";
 import { resolveSettings } from "@jujubeladder/platform";
 import { createId } from "@jujubeladder/utils";
-import { authenticate } from "./authenticate.js";
+import { authenticateOrRefuse } from "./authenticate_or_refuse.js";
 import type { CallerContext } from "./caller_context.js";
 import { findRoute } from "./find_route.js";
 import { sendError } from "./send_error.js";
@@ -13,12 +13,9 @@
   req: Request,
   res: Response,
 ): Promise<void> {
-  const authenticated = authenticate(req, context.configView);
-  if (!authenticated.ok) {
-    sendError(res, authenticated.error);
-    return;
-  }
-  const { team, document } = authenticated.value;
+  const caller = authenticateOrRefuse(req, res, context.configView);
+  if (!caller) return;
+  const { team, document } = caller;
   const serviceId = String(req.params["service"]);
   const path = req.url;
   const route = findRoute(document, { serviceId, method: req.method, path });
--- a/packages/jujubeladder/src/http/handle_run_ticket.ts
+++ b/packages/jujubeladder/src/http/handle_run_ticket.ts
@@ -1,5 +1,5 @@
 import type { Request, Response } from "express";
-import { authenticate } from "./authenticate.js";
+import { authenticateOrRefuse } from "./authenticate_or_refuse.js";
 import type { CallerContext } from "./caller_context.js";
 import { sendError } from "./send_error.js";
 import { sendSubmissionResult } from "./send_submission_result.js";
@@ -10,12 +10,9 @@
   req: Request,
   res: Response,
 ): Promise<void> {
-  const authenticated = authenticate(req, context.configView);
-  if (!authenticated.ok) {
-    sendError(res, authenticated.error);
-    return;
-  }
-  const { teamId } = authenticated.value.team;
+  const caller = authenticateOrRefuse(req, res, context.configView);
+  if (!caller) return;
+  const { teamId } = caller.team;
   const sealed = String(req.params["ticket"]);
   const ticket = context.tickets.open(sealed, teamId);
   if (!ticket.ok) {
--- a/packages/jujubeladder/src/relay/attempt_end.ts
+++ b/packages/jujubeladder/src/relay/attempt_end.ts
@@ -3,6 +3,8 @@
 /** How one attempt of a generation at one runner ended. */
 export type AttemptEnd =
   | { readonly type: "finished" }
+  /** The caller went away; says nothing about the runner. */
+  | { readonly type: "abandoned"; readonly reason: string }
   /** Nothing ran: the runner refused or was never reached. */
   | {
       readonly type: "not_started";
--- a/packages/jujubeladder/src/relay/generation_reader.ts
+++ b/packages/jujubeladder/src/relay/generation_reader.ts
@@ -17,6 +17,11 @@
 const STALL_MS = 500;
 const REFUSED_CODE = "ECONNREFUSED";
 
+const ABANDONED: Extract<AttemptEnd, { type: "abandoned" }> = {
+  type: "abandoned",
+  reason: "the caller left",
+};
+
 /** What reading one generation needs besides its handle. */
 interface ReaderOptions {
   readonly silenceMs: number;
@@ -31,7 +36,7 @@
 /** A stream to read on from, or why there is none. */
 type Resumption =
   | { readonly type: "stream"; readonly stream: EngineStream }
-  | Extract<AttemptEnd, { type: "lost" }>;
+  | Extract<AttemptEnd, { type: "lost" | "abandoned" }>;
 
 /**
  * Reads one generation to its end over as many connections as it takes.
@@ -58,6 +63,11 @@
     return this.#nextOffset;
   }
 
+  /** Stops the generation at its runner, as far as it can be reached. */
+  async cancel(): Promise<void> {
+    await this.#client.cancelGeneration(this.#handle.generationId);
+  }
+
   /** Reads from an open stream, or without one from the offset on. */
   async *read(
     opened?: EngineStream,
@@ -66,7 +76,7 @@
     for (;;) {
       if (!stream) {
         const resumption = await this.#resume();
-        if (resumption.type === "lost") return resumption;
+        if (resumption.type !== "stream") return resumption;
         stream = resumption.stream;
       }
       try {
@@ -75,7 +85,7 @@
         stream.close();
       }
       stream = undefined;
-      if (this.#options.signal.aborted) return lost("the caller left", false);
+      if (this.#options.signal.aborted) return ABANDONED;
     }
   }
 
@@ -126,7 +136,7 @@
       );
       const resumption = toResumption(outcome);
       if (resumption) return resumption;
-      if (signal.aborted) return lost("the caller left", false);
+      if (signal.aborted) return ABANDONED;
       if (deadline.hasPassed) return lost("the runner is unreachable", false);
       await sleep(computeBackoffMs(attempt), signal);
     }
--- a/packages/jujubeladder/src/relay/generation_relay.ts
+++ b/packages/jujubeladder/src/relay/generation_relay.ts
@@ -71,14 +71,14 @@
         return;
       }
       const end = yield* this.#attempt(work, place, fingerprint, signal);
-      if (end.type === "finished") return;
+      if (end.type === "finished" || end.type === "abandoned") return;
       excludedRunnerIds.add(place.admission.runnerId);
       progress.reason = end.reason;
       if (end.type === "not_started") continue;
       progress.outcome = end.outcome;
       const { sentTokens } = end;
       const mayRerun = service.isIdempotent && sentTokens === 0;
-      if (!mayRerun || signal.aborted) {
+      if (!mayRerun) {
         yield fail(progress, end.reason, { sentTokens });
         return;
       }
@@ -110,7 +110,7 @@
       offset: firstOffset,
     });
     const end = yield* reader.read();
-    if (end.type === "finished") return;
+    if (end.type === "finished" || end.type === "abandoned") return;
     const outcome = end.type === "lost" ? end.outcome : "may_have_run";
     const { reason } = end;
     const sentTokens = reader.nextOffset;
@@ -161,9 +161,17 @@
           return end;
         case "not_started":
           return end;
-        case "lost":
+        case "abandoned":
+          // A stream may be read on by its handle; nobody has one of a
+          // whole answer.
+          if (!isStreamed) await reader.cancel();
+          return end;
+        case "lost": {
           await this.#noteLost(fingerprint, runnerId, end);
-          return { ...end, sentTokens: isStreamed ? reader.nextOffset : 0 };
+          const sentTokens = isStreamed ? reader.nextOffset : 0;
+          if (sentTokens === 0) void reader.cancel();
+          return { ...end, sentTokens };
+        }
       }
     } finally {
       place.release();
--- a/packages/proofs/src/__tests__/replay/check_stated.ts
+++ b/packages/proofs/src/__tests__/replay/check_stated.ts
@@ -46,6 +46,10 @@
       const hashes = new Set(statuses.map((status) => status.documentHash));
       return hashes.size === 1 ? [] : [`${hashes.size} documents in force`];
     }
+    case "not_logged":
+      return fleet.child(stated.of).output.includes(stated.text)
+        ? [`${stated.of} logged ${stated.text}`]
+        : [];
     case "no_start_after": {
       const leftAtMs = recording.leftAtMs.get(stated.runner) ?? Infinity;
       const late = truth.generations.filter(
--- a/packages/proofs/src/__tests__/replay/stated_outcome.ts
+++ b/packages/proofs/src/__tests__/replay/stated_outcome.ts
@@ -29,6 +29,11 @@
       readonly is: number;
     }
   | { readonly state: "all_alike" }
+  | {
+      readonly state: "not_logged";
+      readonly of: string;
+      readonly text: string;
+    }
   | {
       readonly state: "no_start_after";
       readonly runner: string;
