Leave a lost zone out, and retry in another zone

A zone that failed as a whole was kept in use, its region's callers went to it first, and the budget was spent within a few calls. Ruled out: a larger budget (it is the bound itself). Change: an instance ejects what it cannot reach unless most runners of the service fail; the verdict is told to nobody, so that one instance's broken link condemns no zone for others. A retry prefers zones in which nothing failed. Conclusion: mended for plain services; engines share both parts, untraced.

--- a/packages/coordination/src/runner_health.ts
+++ b/packages/coordination/src/runner_health.ts
@@ -11,9 +11,10 @@
 }
 
 /**
- * Ejects runners that fail this instance several times in a row. When most
- * of a zone fails at once the instance's own link is as likely a cause, so
- * the zone is kept in use and the retry budget bounds the harm.
+ * Ejects runners that fail this instance several times in a row. The verdict
+ * is this instance's own and is told to nobody: a zone that it alone cannot
+ * reach stays in use elsewhere. When most runners of a service fail, its own
+ * link is as likely a cause; all are kept, and the retry budget bounds harm.
  */
 export class RunnerHealth {
   readonly #healths = new Map<string, Health>();
@@ -36,20 +37,15 @@
     return isEjected && !wasEjected;
   }
 
-  /** Leaves out ejected runners, zone by zone. */
+  /** Leaves out ejected runners, unless most are. */
   filterUsable(runners: readonly Runner[]): readonly Runner[] {
-    const zones = new Map<string, { total: number; ejected: number }>();
-    for (const { availabilityZone, runnerId } of runners) {
-      const zone = zones.get(availabilityZone) ?? { total: 0, ejected: 0 };
-      zone.total += 1;
-      if (this.#isEjected(runnerId)) zone.ejected += 1;
-      zones.set(availabilityZone, zone);
-    }
-    return runners.filter(({ availabilityZone, runnerId }) => {
-      const zone = zones.get(availabilityZone);
-      if (!zone || zone.ejected > zone.total * MAX_EJECTED_SHARE) return true;
-      return !this.#isEjected(runnerId);
-    });
+    const healthy = runners.filter(
+      ({ runnerId }) => !this.#isEjected(runnerId),
+    );
+    const ejectedCount = runners.length - healthy.length;
+    return ejectedCount > runners.length * MAX_EJECTED_SHARE
+      ? runners
+      : healthy;
   }
 
   #isEjected(runnerId: string): boolean {
--- a/packages/jujubeladder/src/entry/entry_coordination.ts
+++ b/packages/jujubeladder/src/entry/entry_coordination.ts
@@ -1,4 +1,5 @@
 import {
+  createPeerService,
   DEFAULT_TICKET_LIMITS,
   Handover,
   Membership,
@@ -32,6 +33,8 @@
   readonly witness: WitnessLedger;
   readonly tickets: TicketService;
   readonly handover: Handover;
+  /** Answers the calls of peers. */
+  readonly service: ReturnType<typeof createPeerService>;
 
   constructor(
     settings: EntrySettings,
@@ -100,5 +103,18 @@
       successions,
       logger,
     });
+    const { config } = views;
+    this.service = createPeerService({
+      identity,
+      incarnations: this.incarnations,
+      membership,
+      directory,
+      successions,
+      tickets: this.tickets,
+      owner: this.owner,
+      witness: this.witness,
+      handover: this.handover,
+      document: () => ({ revision: config.revision, text: config.text }),
+    });
   }
 }
--- a/packages/jujubeladder/src/entry/entry_instance.ts
+++ b/packages/jujubeladder/src/entry/entry_instance.ts
@@ -1,10 +1,6 @@
 import type { Server } from "node:http";
 import type { Http2Server } from "node:http2";
-import {
-  createPeerService,
-  OrderKeeper,
-  type SubmissionBody,
-} from "@jujubeladder/coordination";
+import type { OrderKeeper, SubmissionBody } from "@jujubeladder/coordination";
 import { Logger } from "@jujubeladder/logger";
 import {
   PlatformClient,
@@ -14,7 +10,6 @@
 } from "@jujubeladder/platform";
 import type { PlacementDecision } from "@jujubeladder/scheduling";
 import type { SubmissionResult, Ticket } from "@jujubeladder/types";
-import { EngineClient } from "@jujubeladder/upstream";
 import { SealBox, sleep } from "@jujubeladder/utils";
 import { createAdminApp } from "../http/create_admin_app.js";
 import { createCallerApp } from "../http/create_caller_app.js";
@@ -23,6 +18,7 @@
 import { PlainRelay } from "../relay/plain_relay.js";
 import { RunnerAccess } from "../relay/runner_access.js";
 import type { EntrySettings } from "../settings/entry_settings.js";
+import { createOrderKeeper } from "./create_order_keeper.js";
 import { describeStatus } from "./describe_status.js";
 import { EntryCoordination } from "./entry_coordination.js";
 import { EntryScheduling } from "./entry_scheduling.js";
@@ -85,7 +81,12 @@
       logger: this.#logger,
       dispatch: async (ticket, body) => this.#dispatch(ticket, body),
     });
-    this.#orders = this.#createOrders();
+    this.#orders = createOrderKeeper({
+      views: this.#views,
+      membership: this.#coordination.membership,
+      access: this.#access,
+      logger: this.#logger,
+    });
     this.#access.setOrders(this.#orders);
     this.#relay = this.#createRelay();
   }
@@ -110,7 +111,7 @@
       explain: (query) => this.#explain(query),
     });
     this.#adminServer = await serve(admin, { host, port: adminPort });
-    this.#peerServer = await servePeers(this.#createPeerService(), {
+    this.#peerServer = await servePeers(this.#coordination.service, {
       host,
       port: peerPort,
     });
@@ -174,27 +175,6 @@
     });
   }
 
-  #createOrders(): OrderKeeper {
-    const { membership } = this.#coordination;
-    return new OrderKeeper({
-      instanceId: this.#settings.instanceId,
-      logger: this.#logger,
-      document: () => this.#views.config.document,
-      listAliveInstanceIds: () =>
-        membership
-          .listAlive()
-          .filter((peer) => !peer.isLeaving)
-          .map((peer) => peer.instanceId),
-      lastLoad: (runnerId) => this.#access.lastLoad(runnerId),
-      readLoad: async (runnerId) => this.#access.readLoad(runnerId),
-      sendOrder: async (target, fence) => {
-        const runner = this.#views.list.findRunner(target.runnerId);
-        if (!runner) return { ok: false, error: "the runner is not listed" };
-        return await new EngineClient(runner).sendOrder(target, fence);
-      },
-    });
-  }
-
   #createRelay(): GenerationRelay {
     return new GenerationRelay({
       instanceId: this.#settings.instanceId,
@@ -213,24 +193,6 @@
     });
   }
 
-  #createPeerService(): ReturnType<typeof createPeerService> {
-    const { incarnations, membership, directory, tickets, owner } =
-      this.#coordination;
-    const { config, identity, successions } = this.#views;
-    return createPeerService({
-      identity,
-      incarnations,
-      membership,
-      directory,
-      successions,
-      tickets,
-      owner,
-      witness: this.#coordination.witness,
-      handover: this.#coordination.handover,
-      document: () => ({ revision: config.revision, text: config.text }),
-    });
-  }
-
   #runTasks(): void {
     const { signal } = this.#stopping;
     const options = { logger: this.#logger, signal };
--- a/packages/jujubeladder/src/relay/plain_relay.ts
+++ b/packages/jujubeladder/src/relay/plain_relay.ts
@@ -39,7 +39,7 @@
   ): Promise<SubmissionResult> {
     const budget = this.#parts.budgetOf(call.serviceId);
     budget.noteFirstAttempt(settings.retryBudgetPercent);
-    const excluded = new Set<string>();
+    const tried: Runner[] = [];
     let last = makeResult("not_run", "no runner is left to try");
     for (let attempt = 1; attempt <= settings.maxAttempts; attempt += 1) {
       if (attempt > 1) {
@@ -47,9 +47,9 @@
         this.#parts.metrics.count("retries");
         await sleep(computeBackoffMs(attempt - 2));
       }
-      const runner = this.#choose(call, excluded);
+      const runner = this.#choose(call, tried);
       if (!runner) break;
-      excluded.add(runner.runnerId);
+      tried.push(runner);
       const outcome = await this.#callRunner(runner, call, settings);
       const result = this.#toResult(runner, outcome);
       if (result.outcome === "completed") return result;
@@ -60,9 +60,9 @@
     return last;
   }
 
-  #choose(call: PlainCall, excluded: ReadonlySet<string>): Runner | undefined {
+  #choose(call: PlainCall, tried: readonly Runner[]): Runner | undefined {
     const usable = this.#parts.access.listUsable(call.serviceId);
-    const candidates = usable.filter((r) => !excluded.has(r.runnerId));
+    const candidates = listCandidates(usable, tried);
     const runner = choosePlainRunner(candidates, {
       region: this.#parts.region,
       activeCalls: (runnerId) => this.#activeCalls.get(runnerId) ?? 0,
@@ -130,3 +130,17 @@
     else this.#activeCalls.set(runnerId, calls);
   }
 }
+
+// A retry prefers zones in which nothing has failed yet.
+function listCandidates(
+  usable: readonly Runner[],
+  tried: readonly Runner[],
+): readonly Runner[] {
+  const triedIds = new Set(tried.map((runner) => runner.runnerId));
+  const triedZones = new Set(tried.map((runner) => runner.availabilityZone));
+  const untried = usable.filter((runner) => !triedIds.has(runner.runnerId));
+  const elsewhere = untried.filter(
+    (runner) => !triedZones.has(runner.availabilityZone),
+  );
+  return elsewhere.length > 0 ? elsewhere : untried;
+}
--- a/packages/proofs/src/__tests__/replay/check_stated.ts
+++ b/packages/proofs/src/__tests__/replay/check_stated.ts
@@ -1,9 +1,12 @@
+import { request } from "undici";
 import type { Fleet } from "../harness/fleet.js";
 import type { GroundTruth } from "./ground_truth.js";
 import { readStatus } from "./read_status.js";
 import type { Recording } from "./recording.js";
 import type { StatedOutcome } from "./stated_outcome.js";
 
+const RETRIES_METRIC = /^jujubeladder_retries_total (\d+)$/m;
+
 /** Compares one stated outcome with what was received and done. */
 export async function checkStated(
   stated: StatedOutcome,
@@ -46,6 +49,16 @@
       const hashes = new Set(statuses.map((status) => status.documentHash));
       return hashes.size === 1 ? [] : [`${hashes.size} documents in force`];
     }
+    case "retries_within": {
+      const answer = await request(`${fleet.adminUrl(stated.of)}/metrics`);
+      const text = await answer.body.text();
+      const retries = Number(RETRIES_METRIC.exec(text)?.[1] ?? 0);
+      const { saved, firstAttempts, percent } = stated;
+      const allowed = saved + (firstAttempts * percent) / 100;
+      return retries <= allowed
+        ? []
+        : [`${retries} retries, ${allowed} allowed`];
+    }
     case "not_logged":
       return fleet.child(stated.of).output.includes(stated.text)
         ? [`${stated.of} logged ${stated.text}`]
--- a/packages/proofs/src/__tests__/replay/stated_outcome.ts
+++ b/packages/proofs/src/__tests__/replay/stated_outcome.ts
@@ -29,6 +29,14 @@
       readonly is: number;
     }
   | { readonly state: "all_alike" }
+  | {
+      readonly state: "retries_within";
+      readonly of: string;
+      readonly firstAttempts: number;
+      readonly percent: number;
+      /** Retries that a fresh budget has saved. */
+      readonly saved: number;
+    }
   | {
       readonly state: "not_logged";
       readonly of: string;
