Read cache events as a hint for placement

Ruled out: guessing caches from what this instance sent (peers' requests fill them too, evictions are not seen). Change: EngineClient.readCacheEvents with each load poll; PrefixView believes nothing older after a gap or an engine's restart; the stand-in publishes events and leaves every 17th out. Before the change is_prefix_hit=true could not appear in a log.

--- a/packages/jujubeladder/src/entry/entry_instance.ts
+++ b/packages/jujubeladder/src/entry/entry_instance.ts
@@ -169,6 +169,9 @@
       onLoad: (runner, load) => {
         this.#scheduling.schedulerOf(runner.serviceId).updateLoad(load);
       },
+      findPrefixes: (runner) =>
+        this.#scheduling.schedulerOf(runner.serviceId).findBook(runner.runnerId)
+          ?.prefixes,
       onLeaving: () => {
         void this.#coordination.membership.pushToAll();
       },
--- a/packages/jujubeladder/src/relay/generation_starter.ts
+++ b/packages/jujubeladder/src/relay/generation_starter.ts
@@ -4,6 +4,7 @@
 import { createId, monotonicMs } from "@jujubeladder/utils";
 import type { AttemptEnd } from "./attempt_end.js";
 import { GenerationReader } from "./generation_reader.js";
+import { toPrefixKey } from "./to_prefix_key.js";
 import type { GenerationWork } from "./generation_work.js";
 import type { RelayParts } from "./relay_parts.js";
 
@@ -63,6 +64,7 @@
     const outcome = await new EngineClient(runner).openGeneration(request, {
       generationId,
       priority: toPriority(work),
+      prefixKey: toPrefixKey(request),
       silenceMs: settings.silenceMs,
       signal,
     });
--- a/packages/jujubeladder/src/relay/runner_access.ts
+++ b/packages/jujubeladder/src/relay/runner_access.ts
@@ -1,6 +1,7 @@
 import type { LeavingRunners } from "@jujubeladder/coordination";
 import { RunnerHealth, type OrderKeeper } from "@jujubeladder/coordination";
 import type { Logger } from "@jujubeladder/logger";
+import type { PrefixView } from "@jujubeladder/scheduling";
 import type { InstanceListView } from "@jujubeladder/platform";
 import type { Result, Runner, RunnerLoad } from "@jujubeladder/types";
 import { EngineClient, PlainServiceClient } from "@jujubeladder/upstream";
@@ -27,6 +28,7 @@
   readonly #loadIntervalMs: number;
   readonly #onLoad: (runner: Runner, load: RunnerLoad) => void;
   readonly #onLeaving: () => void;
+  readonly #findPrefixes: (runner: Runner) => PrefixView | undefined;
   readonly #loads = new Map<string, KnownLoad>();
   readonly #polls = new Map<string, AbortController>();
   #orders: OrderKeeper | undefined;
@@ -39,7 +41,9 @@
     readonly loadIntervalMs: number;
     readonly onLoad: (runner: Runner, load: RunnerLoad) => void;
     readonly onLeaving: () => void;
+    readonly findPrefixes: (runner: Runner) => PrefixView | undefined;
   }) {
+    this.#findPrefixes = options.findPrefixes;
     this.#listView = options.listView;
     this.#leaving = options.leaving;
     this.#logger = options.logger;
@@ -183,11 +187,22 @@
         const reason = answer.error;
         this.#logger.warn("runner_ejected", { runner: runnerId, reason });
       }
+      if (answer.ok) await this.#readPrefixes(runnerId);
       const jitter = 0.75 + Math.random() / 2;
       await sleep(this.#loadIntervalMs * jitter, signal);
     }
   }
 
+  async #readPrefixes(runnerId: string): Promise<void> {
+    const runner = this.#listView.findRunner(runnerId);
+    const prefixes = runner && this.#findPrefixes(runner);
+    if (!prefixes) return;
+    const client = new EngineClient(runner);
+    const answer = await client.readCacheEvents(prefixes.lastSequence);
+    if (!answer.ok) return;
+    prefixes.apply(answer.value.events, answer.value.lastSequence);
+  }
+
   #noteLoad(runner: Runner, load: RunnerLoad): void {
     if (load.runnerId !== runner.runnerId) return;
     this.#loads.set(runner.runnerId, { load, readAtMs: monotonicMs() });
--- a/packages/jujubeladder/src/relay/to_scheduling_request.ts
+++ b/packages/jujubeladder/src/relay/to_scheduling_request.ts
@@ -1,6 +1,6 @@
 import type { SchedulingRequest } from "@jujubeladder/scheduling";
-import { hashText } from "@jujubeladder/utils";
 import type { GenerationWork } from "./generation_work.js";
+import { toPrefixKey } from "./to_prefix_key.js";
 
 const CHARACTERS_PER_TOKEN = 4;
 
@@ -24,7 +24,7 @@
     isShort: kind.isShort,
     promptTokens: Math.ceil(content.length / CHARACTERS_PER_TOKEN),
     maxTokens: request.maxTokens,
-    prefixKey: String(hashText(request.messages[0]?.content ?? "")),
+    prefixKey: toPrefixKey(request),
     settings,
     excludedRunnerIds,
     ...(onlyRunnerId === undefined
--- a/packages/scheduling/src/choose_placement.ts
+++ b/packages/scheduling/src/choose_placement.ts
@@ -65,7 +65,7 @@
     const isTight = predictedPeakShare > TIGHT_SHARE && !request.isShort;
     if (isTight && !context.isOwnTurn(runner.runnerId)) continue;
     candidates += 1;
-    const isPrefixHit = runner.hasPrefix(request.prefixKey);
+    const isPrefixHit = runner.prefixes.has(request.prefixKey);
     const isSameRegion = runner.region === context.region;
     const runningStreams = runner.runningStreams() + context.unseenStreams;
     const { objective } = context;
--- a/packages/scheduling/src/mod.ts
+++ b/packages/scheduling/src/mod.ts
@@ -10,6 +10,7 @@
 export { LengthModel } from "./length_model.js";
 export type { PlacementDecision } from "./placement_decision.js";
 export type { PlacementFigures } from "./placement_figures.js";
+export { PrefixView } from "./prefix_view.js";
 export type { QueuedRequest } from "./queued_request.js";
 export { RetryBudget } from "./retry_budget.js";
 export { RunnerBook } from "./runner_book.js";
--- a/packages/scheduling/src/runner_book.ts
+++ b/packages/scheduling/src/runner_book.ts
@@ -1,6 +1,7 @@
 import type { RunnerLoad } from "@jujubeladder/types";
 import { GrowthCurve } from "./growth_curve.js";
 import type { GrowthProfile } from "./growth_profile.js";
+import { PrefixView } from "./prefix_view.js";
 import type { StreamLease } from "./stream_lease.js";
 
 const REPORT_LAG_MS = 500;
@@ -14,7 +15,8 @@
   readonly runnerId: string;
   readonly region: string;
   readonly #leases = new Set<StreamLease>();
-  readonly #prefixes = new Set<string>();
+  /** Prefixes that the runner is thought to have cached; a hint. */
+  readonly prefixes = new PrefixView();
   #load: RunnerLoad | undefined;
   #loadAtMs = Number.NEGATIVE_INFINITY;
   #curve: GrowthCurve | undefined;
@@ -53,16 +55,6 @@
     this.#curve = undefined;
   }
 
-  /** Replaces the prefixes that the runner is thought to have cached. */
-  notePrefix(prefixKey: string, isCached: boolean): void {
-    if (isCached) this.#prefixes.add(prefixKey);
-    else this.#prefixes.delete(prefixKey);
-  }
-
-  hasPrefix(prefixKey: string): boolean {
-    return this.#prefixes.has(prefixKey);
-  }
-
   /** Streams on the runner: reported ones and own ones not yet reported. */
   runningStreams(): number {
     const reported = this.#load
--- /dev/null
+++ b/packages/standins/src/cache_event.ts
@@ -0,0 +1,6 @@
+/** A change of the engine's prefix cache. */
+export interface CacheEvent {
+  readonly sequence: number;
+  readonly type: "stored" | "evicted";
+  readonly prefixKey: string;
+}
--- a/packages/standins/src/engine_model.ts
+++ b/packages/standins/src/engine_model.ts
@@ -1,9 +1,11 @@
+import type { CacheEvent } from "./cache_event.js";
 import type { EngineModelStream } from "./engine_model_stream.js";
 import type { EngineOptions } from "./engine_options.js";
 import type { EngineStep } from "./engine_step.js";
 
 const MAX_CACHED_PREFIXES = 64;
 const ADMISSION_SLACK = 0.02;
+const MAX_CACHE_EVENTS = 100;
 
 /**
  * Continuous batching with limited memory: each step every running stream
@@ -13,6 +15,7 @@
 export class EngineModel {
   readonly #options: EngineOptions;
   readonly #prefixes = new Set<string>();
+  readonly #cacheEvents: CacheEvent[] = [];
   #running: EngineModelStream[] = [];
   #waiting: EngineModelStream[] = [];
   #preemptions = 0;
@@ -33,6 +36,11 @@
     return this.#preemptions;
   }
 
+  /** What the prefix cache has stored and evicted, oldest first. */
+  get cacheEvents(): readonly CacheEvent[] {
+    return this.#cacheEvents;
+  }
+
   get usedTokens(): number {
     return this.#running.reduce((sum, stream) => sum + contextOf(stream), 0);
   }
@@ -84,14 +92,22 @@
 
   #countPrefill(stream: EngineModelStream): number {
     const isCached = this.#prefixes.delete(stream.prefixKey);
+    if (!isCached) this.#noteCache("stored", stream.prefixKey);
     this.#prefixes.add(stream.prefixKey);
     const [oldest] = this.#prefixes;
     if (this.#prefixes.size > MAX_CACHED_PREFIXES && oldest !== undefined) {
       this.#prefixes.delete(oldest);
+      this.#noteCache("evicted", oldest);
     }
     return isCached ? stream.producedTokens : contextOf(stream);
   }
 
+  #noteCache(type: CacheEvent["type"], prefixKey: string): void {
+    const sequence = (this.#cacheEvents.at(-1)?.sequence ?? 0) + 1;
+    this.#cacheEvents.push({ sequence, type, prefixKey });
+    if (this.#cacheEvents.length > MAX_CACHE_EVENTS) this.#cacheEvents.shift();
+  }
+
   #preemptUntilFits(): readonly EngineModelStream[] {
     const preempted: EngineModelStream[] = [];
     this.#running.sort((a, b) => a.priority - b.priority);
--- a/packages/standins/src/engine_server.ts
+++ b/packages/standins/src/engine_server.ts
@@ -11,6 +11,7 @@
 
 const IDLE_STEP_MS = 5;
 const HEARTBEAT_MS = 250;
+const LOST_EVENT = 17;
 const CHARACTERS_PER_TOKEN = 4;
 const DETACHED_MS = 20_000;
 const RETAINED_GENERATIONS = 10_000;
@@ -58,6 +59,15 @@
     app.get("/v1/load", (_req, res) => {
       res.json(this.#laggingLoad());
     });
+    app.get("/v1/cache_events", (req, res) => {
+      const after = Number(req.query["after"] ?? 0);
+      const all = this.#model.cacheEvents;
+      // Every so many events one is left out, as real engines do.
+      const events = all.filter(
+        ({ sequence }) => sequence > after && sequence % LOST_EVENT !== 0,
+      );
+      res.json({ lastSequence: all.at(-1)?.sequence ?? 0, events });
+    });
     app.put("/v1/orders", async (req, res) => {
       const status = await this.#orders.take(req.body, {
         isBusy: this.#model.runningCount + this.#model.waitingCount > 0,
@@ -114,7 +124,7 @@
       promptTokens: Math.ceil(content.length / CHARACTERS_PER_TOKEN),
       outputTokens: chooseOutputTokens(content, req.body.max_tokens ?? 1_000),
       priority: Number(req.get("x-priority") ?? 0),
-      prefixKey: String(hashText(prefix)),
+      prefixKey: req.get("x-prefix-key") ?? String(hashText(prefix)),
       producedTokens: 0,
     });
     this.#generations.set(generationId, generation);
--- a/packages/standins/src/mod.ts
+++ b/packages/standins/src/mod.ts
@@ -1,4 +1,5 @@
 /** Small stand-ins of the platform, engines and plain services. */
+export type { CacheEvent } from "./cache_event.js";
 export { chooseOutputTokens } from "./choose_output_tokens.js";
 export { DEFAULT_ENGINE_OPTIONS } from "./default_engine_options.js";
 export { EngineModel } from "./engine_model.js";
--- /dev/null
+++ b/packages/upstream/src/cache_events_schema.ts
@@ -0,0 +1,13 @@
+import { z } from "zod";
+
+/** Shape of an engine's cache events. */
+export const cacheEventsSchema = z.object({
+  lastSequence: z.number().int().nonnegative(),
+  events: z.array(
+    z.object({
+      sequence: z.number().int().positive(),
+      type: z.enum(["stored", "evicted"]),
+      prefixKey: z.string(),
+    }),
+  ),
+});
--- a/packages/upstream/src/engine_client.ts
+++ b/packages/upstream/src/engine_client.ts
@@ -6,6 +6,8 @@
   RunnerTarget,
 } from "@jujubeladder/types";
 import { describeError, parseJson } from "@jujubeladder/utils";
+import type { CacheEvents } from "./cache_events.js";
+import { cacheEventsSchema } from "./cache_events_schema.js";
 import type { OpenOutcome } from "./open_outcome.js";
 import { readEngineEvents } from "./read_engine_events.js";
 import { readRefusal } from "./read_refusal.js";
@@ -31,6 +33,7 @@
     options: {
       readonly generationId: string;
       readonly priority: number;
+      readonly prefixKey: string;
       readonly silenceMs: number;
       readonly signal: AbortSignal;
     },
@@ -43,6 +46,7 @@
           "content-type": "application/json",
           "x-generation-id": options.generationId,
           "x-priority": String(options.priority),
+          "x-prefix-key": options.prefixKey,
         },
         body: JSON.stringify({
           model: request.serviceId,
@@ -88,6 +92,17 @@
       : { ok: false, error: "the load report is malformed" };
   }
 
+  /** Reads cache events after a sequence number. */
+  async readCacheEvents(after: number): Promise<Result<CacheEvents, string>> {
+    const path = `/v1/cache_events?after=${after}`;
+    const answer = await this.#control("GET", path);
+    if (!answer.ok) return answer;
+    const parsed = cacheEventsSchema.safeParse(parseJson(answer.value.text));
+    return parsed.success
+      ? { ok: true, value: parsed.data }
+      : { ok: false, error: "the cache events are malformed" };
+  }
+
   /** Orders a state, fenced by a configuration revision. */
   async sendOrder(
     target: RunnerTarget,
--- a/packages/upstream/src/mod.ts
+++ b/packages/upstream/src/mod.ts
@@ -1,4 +1,6 @@
 /** Clients of runners: model engines and plain services. */
+export type { CacheEvents } from "./cache_events.js";
+export { cacheEventsSchema } from "./cache_events_schema.js";
 export { EngineClient } from "./engine_client.js";
 export type { EngineEvent } from "./engine_event.js";
 export type { EngineStream } from "./engine_stream.js";
