Add to growth curves in one way; count a runner's streams once

Cause: reading the whole change again: GrowthCurve had two ways to add to a horizon, a weight that nobody gave, and a decision walked a runner's leases twice. Ruled out: sharing the demo's document with the proofs' (each is a fixture that may change alone); dropping the events that views emit (embedders may listen). Change: addAt is the one way; the count is taken once; a maximum with zero of what is never negative is gone. The other proofs were not run again on this head. Conclusion: behaviour as it was.

--- a/packages/scheduling/src/choose_placement.ts
+++ b/packages/scheduling/src/choose_placement.ts
@@ -58,7 +58,8 @@
     const curve = runner.curve(context.profile, context.nowMs);
     const peak = curve.peakTokens(context.deviations, horizons, added);
     const predictedPeakShare = peak / load.capacityTokens;
-    const isEmpty = runner.runningStreams() === 0;
+    const knownStreams = runner.runningStreams();
+    const isEmpty = knownStreams === 0;
     const isBehind = load.waitingStreams > 0 && !request.isShort;
     const isOverfull = predictedPeakShare > 1 || isBehind;
     if (isOverfull && !isEmpty) continue;
@@ -67,7 +68,7 @@
     candidates += 1;
     const isPrefixHit = runner.prefixes.has(request.prefixKey);
     const isSameRegion = runner.region === context.region;
-    const runningStreams = runner.runningStreams() + context.unseenStreams;
+    const runningStreams = knownStreams + context.unseenStreams;
     const { objective } = context;
     const score =
       objective.preemptions * toRisk(predictedPeakShare) +
--- a/packages/scheduling/src/growth_curve.ts
+++ b/packages/scheduling/src/growth_curve.ts
@@ -22,16 +22,19 @@
       const survival = distribution.survival(stream.producedTokens, horizon);
       const held = stream.contextTokens + horizon;
       const variance = survival * (1 - survival) * held * held;
-      this.#add(index, stream.count * survival * held, stream.count * variance);
+      this.addAt(index, {
+        mean: stream.count * survival * held,
+        variance: stream.count * variance,
+      });
     });
   }
 
-  /** Adds another curve, `weight` times. */
-  addCurve(other: GrowthCurve, weight = 1): void {
+  /** Adds another curve. */
+  addCurve(other: GrowthCurve): void {
     HORIZONS_TOKENS.forEach((_, index) => {
       const mean = other.#mean[index] ?? 0;
       const variance = other.#variance[index] ?? 0;
-      this.#add(index, weight * mean, weight * variance);
+      this.addAt(index, { mean, variance });
     });
   }
 
@@ -40,7 +43,8 @@
     index: number,
     added: { readonly mean: number; readonly variance: number },
   ): void {
-    this.#add(index, added.mean, added.variance);
+    this.#mean[index] = (this.#mean[index] ?? 0) + added.mean;
+    this.#variance[index] = (this.#variance[index] ?? 0) + added.variance;
   }
 
   /**
@@ -64,9 +68,4 @@
     }
     return peak;
   }
-
-  #add(index: number, mean: number, variance: number): void {
-    this.#mean[index] = (this.#mean[index] ?? 0) + mean;
-    this.#variance[index] = (this.#variance[index] ?? 0) + variance;
-  }
 }
--- a/packages/scheduling/src/runner_book.ts
+++ b/packages/scheduling/src/runner_book.ts
@@ -60,7 +60,7 @@
     const reported = this.#load
       ? this.#load.runningStreams + this.#load.waitingStreams
       : 0;
-    return Math.max(reported, 0) + this.#countUnreported();
+    return reported + this.#countUnreported();
   }
 
   /** Predicted memory of all streams that run there now. */
