--- a/eslint.config.js
+++ b/eslint.config.js
@@ -2,7 +2,7 @@
 
 export default tseslint.config(
   {
-    ignores: ["**/lib/**", "**/node_modules/**", "**/generated/**", "*.js"],
+    ignores: ["target/**", "**/lib/**", "**/node_modules/**", "**/generated/**", "*.js"],
   },
   ...tseslint.configs.strict,
   {
--- a/packages/coordination/src/gossip_state.ts
+++ b/packages/coordination/src/gossip_state.ts
@@ -1,4 +1,5 @@
 import type { PeerIdentity } from "@jujubeladder/types";
+import type { GossipExtension } from "./gossip_extension.js";
 import type { LeavingRunners } from "./leaving_runners.js";
 import type { Quarantine } from "./quarantine.js";
 import type { Successions } from "./successions.js";
@@ -14,4 +15,6 @@
   readonly revision: () => number;
   readonly documentHash: () => string;
   readonly offerDocument: (text: string) => void;
+  /** Further news that instances exchange. */
+  readonly extension?: GossipExtension;
 }
--- a/packages/coordination/src/membership.ts
+++ b/packages/coordination/src/membership.ts
@@ -7,13 +7,15 @@
   describeError,
   monotonicMs,
   rankByRendezvous,
+  readClocks,
   sleep,
+  type ClockReading,
 } from "@jujubeladder/utils";
 import type { GossipState } from "./gossip_state.js";
 import type { PeerDirectory } from "./peer_directory.js";
 import type { PeerState } from "./peer_state.js";
 
-const INTERVAL_MS = 500;
+const DEFAULT_INTERVAL_MS = 500;
 const NEIGHBOURS = 8;
 const NEAR_FANOUT = 2;
 const CALL_TIMEOUT_MS = 1_500;
@@ -31,6 +33,7 @@
   readonly #directory: PeerDirectory;
   readonly #listInstances: () => readonly Instance[];
   readonly #logger: Logger;
+  readonly #intervalMs: number;
   readonly #peers = new Map<string, PeerState>();
   readonly #fetching = new Set<string>();
   #isLeaving = false;
@@ -41,12 +44,14 @@
       readonly directory: PeerDirectory;
       readonly listInstances: () => readonly Instance[];
       readonly logger: Logger;
+      readonly intervalMs?: number;
     },
   ) {
     this.#state = state;
     this.#directory = options.directory;
     this.#listInstances = options.listInstances;
     this.#logger = options.logger;
+    this.#intervalMs = options.intervalMs ?? DEFAULT_INTERVAL_MS;
   }
 
   get isLeaving(): boolean {
@@ -81,7 +86,7 @@
       for (const instanceId of this.#pickTargets()) {
         void this.#exchange(instanceId);
       }
-      await sleep(INTERVAL_MS * (0.75 + Math.random() / 2), signal);
+      await sleep(this.#intervalMs * (0.75 + Math.random() / 2), signal);
     }
   }
 
@@ -107,12 +112,13 @@
   async #exchange(instanceId: string): Promise<void> {
     const client = this.#directory.find(instanceId);
     if (!client) return;
+    const sentAt = readClocks();
     try {
       const answer = await client.gossip(
         { digest: this.#digest() },
         { timeoutMs: CALL_TIMEOUT_MS },
       );
-      if (answer.digest) await this.#merge(answer.digest);
+      if (answer.digest) await this.#merge(answer.digest, sentAt);
     } catch (error) {
       if (!this.#peers.delete(instanceId)) return;
       this.#logger.warn("peer_unreachable", {
@@ -127,6 +133,8 @@
     return create(DigestSchema, {
       sender: state.identity,
       availabilityZone: state.availabilityZone,
+      region: state.region,
+      ...state.extension?.describe(),
       isLeaving: this.#isLeaving,
       revision: BigInt(state.revision()),
       documentHash: state.documentHash(),
@@ -146,7 +154,7 @@
     });
   }
 
-  async #merge(digest: Digest): Promise<void> {
+  async #merge(digest: Digest, sentAt?: ClockReading): Promise<void> {
     const { sender } = digest;
     if (!sender) return;
     const known = this.#peers.get(sender.instanceId);
@@ -164,6 +172,7 @@
       revision: Number(digest.revision),
       heardAtMs: monotonicMs(),
     });
+    this.#state.extension?.merge(digest, sentAt);
     const { leavingRunners, quarantine, successions } = this.#state;
     for (const runnerId of digest.leavingRunners) leavingRunners.note(runnerId);
     for (const { fingerprint, lostRunners, ageMs } of digest.suspicions) {
--- a/packages/coordination/src/mod.ts
+++ b/packages/coordination/src/mod.ts
@@ -1,4 +1,5 @@
 /** How instances act together: gossip, tickets, orders, quarantine. */
+export type { GossipExtension } from "./gossip_extension.js";
 export { createPeerService } from "./create_peer_service.js";
 export { DEFAULT_TICKET_LIMITS } from "./default_ticket_limits.js";
 export type { GossipState } from "./gossip_state.js";
@@ -16,6 +17,7 @@
 export { Quarantine } from "./quarantine.js";
 export type { ResolveVerdict } from "./resolve_verdict.js";
 export { RunnerHealth } from "./runner_health.js";
+export { servePeers } from "./serve_peers.js";
 export type { StartVerdict } from "./start_verdict.js";
 export type { SubmissionBody } from "./submission_body.js";
 export { Successions } from "./successions.js";
--- a/packages/coordination/src/quarantine.ts
+++ b/packages/coordination/src/quarantine.ts
@@ -1,7 +1,7 @@
 import { monotonicMs } from "@jujubeladder/utils";
 import type { SuspicionStatus } from "./suspicion_status.js";
 
-const QUARANTINE_LOSSES = 2;
+const DEFAULT_QUARANTINE_LOSSES = 2;
 const FADE_MS = 600_000;
 const MAX_SUSPICIONS = 1_000;
 
@@ -18,6 +18,12 @@
  */
 export class Quarantine {
   readonly #suspicions = new Map<string, Suspicion>();
+  readonly #quarantineLosses: number;
+
+  /** `quarantineLosses`: runners lost to one request until it is barred. */
+  constructor(quarantineLosses = DEFAULT_QUARANTINE_LOSSES) {
+    this.#quarantineLosses = quarantineLosses;
+  }
 
   /** Notes losses; true when something was not known before. */
   noteLosses(
@@ -52,7 +58,7 @@
     const lostRunners = [...suspicion.lostRunners];
     const losses = lostRunners.length - suspicion.clearedLosses;
     if (losses <= 0) return { type: "clear" };
-    return losses >= QUARANTINE_LOSSES
+    return losses >= this.#quarantineLosses
       ? { type: "quarantined", lostRunners }
       : { type: "suspect", lostRunners };
   }
--- a/packages/jujubeladder/src/entry/serve_peers.ts
+++ b/packages/coordination/src/serve_peers.ts
@@ -4,9 +4,12 @@
 import { connectNodeAdapter } from "@connectrpc/connect-node";
 import { PeerService } from "@jujubeladder/protocol";
 
-/** Serves the peer protocol over HTTP/2; resolves when it listens. */
+/**
+ * Serves the peer protocol over HTTP/2; resolves when it listens. Calls that
+ * are left out are answered as unimplemented.
+ */
 export async function servePeers(
-  service: ServiceImpl<typeof PeerService>,
+  service: Partial<ServiceImpl<typeof PeerService>>,
   address: { readonly host: string; readonly port: number },
 ): Promise<Http2Server> {
   const handler = connectNodeAdapter({
--- /dev/null
+++ b/packages/gateway/src/decisions/move_event.ts
@@ -0,0 +1,20 @@
+import type { CopyOutcome } from "../model/copy_outcome.js";
+import type { GatewayRunner } from "../model/gateway_runner.js";
+
+/** What can happen to a run that may have to move. */
+export type MoveEvent =
+  | {
+      readonly type: "source_leaves";
+      readonly target?: GatewayRunner | undefined;
+    }
+  | {
+      readonly type: "copy_answered";
+      readonly source: GatewayRunner;
+      readonly outcome: CopyOutcome;
+      /** Another runner to try, when the first one has no room. */
+      readonly nextTarget?: GatewayRunner | undefined;
+    }
+  /** The stream ended early, so the run no longer works at its source. */
+  | { readonly type: "stream_broke"; readonly source: GatewayRunner }
+  /** The run ended, or its caller left. */
+  | { readonly type: "run_ended" };
--- /dev/null
+++ b/packages/gateway/src/decisions/outlier_scores.ts
@@ -0,0 +1,38 @@
+import { monotonicMs } from "@jujubeladder/utils";
+
+/** Weight of the newest outcome in the running share. */
+const NEWEST_WEIGHT = 0.25;
+/** Time after which a bad score has halved, so that a runner comes back. */
+const HALF_LIFE_MS = 2_000;
+
+interface Score {
+  readonly share: number;
+  readonly atMs: number;
+}
+
+/**
+ * Recent share of failures by runner, from this instance's own attempts. It
+ * is a weight in placement and ejects nothing, so that a fault of this
+ * instance's own links can't leave it without runners.
+ */
+export class OutlierScores {
+  readonly #scores = new Map<string, Score>();
+
+  note(runnerId: string, isFailure: boolean): void {
+    const share =
+      this.find(runnerId) * (1 - NEWEST_WEIGHT) +
+      (isFailure ? NEWEST_WEIGHT : 0);
+    this.#scores.set(runnerId, { share, atMs: monotonicMs() });
+  }
+
+  find(runnerId: string): number {
+    const score = this.#scores.get(runnerId);
+    if (!score) return 0;
+    const ageMs = monotonicMs() - score.atMs;
+    return score.share * 2 ** (-ageMs / HALF_LIFE_MS);
+  }
+
+  forget(runnerId: string): void {
+    this.#scores.delete(runnerId);
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/mod.ts
@@ -0,0 +1,22 @@
+/** The general request path and the instance that serves it. */
+export type { AttemptHead } from "./model/attempt_head.js";
+export type { CallerRequest } from "./model/caller_request.js";
+export type { CopyOutcome } from "./model/copy_outcome.js";
+export type { EngineControl } from "./model/engine_control.js";
+export type { EngineFeatures } from "./model/engine_features.js";
+export type { GatewayCodec } from "./model/gateway_codec.js";
+export type { GatewayConfig } from "./model/gateway_config.js";
+export { GatewayInstance } from "./server/gateway_instance.js";
+export type { GatewayRunner } from "./model/gateway_runner.js";
+export type { GatewaySettings } from "./server/gateway_settings.js";
+export type { GatewayTeam } from "./model/gateway_team.js";
+export type { GenerationWork } from "./model/generation_work.js";
+export { callWhole } from "./transport/call_whole.js";
+export { RunnerConnection } from "./transport/runner_connection.js";
+export type { MetadataStore } from "./model/metadata_store.js";
+export type { RepeatPolicy } from "./model/repeat_policy.js";
+export type { Route } from "./model/route.js";
+export type { RoutedService } from "./model/routed_service.js";
+export type { RunnerAnswer } from "./model/runner_answer.js";
+export type { RunnerChange } from "./model/runner_change.js";
+export type { WatchOutcome } from "./model/watch_outcome.js";
--- /dev/null
+++ b/packages/gateway/src/relay/caller_answer.ts
@@ -0,0 +1,14 @@
+/** The way back to one caller. */
+export interface CallerAnswer {
+  /** Aborts when the caller has left before the answer was complete. */
+  readonly gone: AbortSignal;
+  /** The head has been sent; nothing but the rest of the body may follow. */
+  readonly hasBegun: boolean;
+  begin(statusCode: number, headers: readonly string[]): void;
+  /** Returns false when the caller reads more slowly; see `onDrain`. */
+  write(chunk: Uint8Array): boolean;
+  onDrain(resume: () => void): void;
+  end(chunk?: Uint8Array): void;
+  /** Closes the connection, so that the answer cannot look complete. */
+  abort(): void;
+}
--- /dev/null
+++ b/packages/gateway/src/relay/loss_watch.ts
@@ -0,0 +1,56 @@
+import type { Quarantine } from "@jujubeladder/coordination";
+import type { Logger } from "@jujubeladder/logger";
+import { sleep } from "@jujubeladder/utils";
+import type { GatewayRunner } from "../model/gateway_runner.js";
+import { toLifeId } from "../model/to_life_id.js";
+import { RunnerConnection } from "../transport/runner_connection.js";
+import type { RunnerDirectory } from "../views/runner_directory.js";
+
+/** A crashed process no longer listens after this time. */
+const PROBE_DELAY_MS = 100;
+const PROBE_TIMEOUT_MS = 500;
+
+/**
+ * Tells runners that crashed from answers that broke: only a runner that no
+ * longer accepts connections, and did not leave, counts as lost to a request.
+ */
+export class LossWatch {
+  readonly #directory: RunnerDirectory;
+  readonly #quarantine: Quarantine;
+  readonly #logger: Logger;
+
+  constructor(parts: {
+    readonly directory: RunnerDirectory;
+    readonly quarantine: Quarantine;
+    readonly logger: Logger;
+  }) {
+    this.#directory = parts.directory;
+    this.#quarantine = parts.quarantine;
+    this.#logger = parts.logger;
+  }
+
+  noteBreak(runner: GatewayRunner, fingerprint: string): void {
+    if (this.#directory.isLeaving(runner.runnerId)) return;
+    void this.#probe(runner, fingerprint);
+  }
+
+  async #probe(runner: GatewayRunner, fingerprint: string): Promise<void> {
+    await sleep(PROBE_DELAY_MS);
+    const opened = await RunnerConnection.open(
+      { host: runner.host, port: runner.port },
+      { timeoutMs: PROBE_TIMEOUT_MS },
+    );
+    if (opened.ok) {
+      opened.value.close();
+      return;
+    }
+    const lifeId = toLifeId(runner);
+    if (!this.#quarantine.noteLosses(fingerprint, [lifeId])) return;
+    this.#logger.warn("runner_lost", {
+      runner: runner.runnerId,
+      fingerprint,
+      reason: opened.error,
+      suspicion: this.#quarantine.status(fingerprint).type,
+    });
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/relay/request_relay.ts
@@ -0,0 +1,399 @@
+import type { Quarantine } from "@jujubeladder/coordination";
+import type { Logger } from "@jujubeladder/logger";
+import type { Metrics } from "@jujubeladder/metrics";
+import { monotonicMs } from "@jujubeladder/utils";
+import { estimateRetryAfter } from "../decisions/estimate_retry_after.js";
+import type { OutlierScores } from "../decisions/outlier_scores.js";
+import { RateMeter } from "../decisions/rate_meter.js";
+import type { RetryAllowance } from "../decisions/retry_allowance.js";
+import type { EngineControl } from "../model/engine_control.js";
+import type { GatewayCodec } from "../model/gateway_codec.js";
+import type { GatewayRunner } from "../model/gateway_runner.js";
+import type { Refusal } from "../model/refusal.js";
+import type { ConnectionPool } from "../transport/connection_pool.js";
+import type { RunnerDirectory } from "../views/runner_directory.js";
+import type { AttemptOutcome } from "./attempt_outcome.js";
+import type { FinalOutcome } from "./final_outcome.js";
+import { mayRepeat } from "./may_repeat.js";
+import type { PlacementDesk } from "./placement_desk.js";
+import type { RelayProgress } from "./relay_progress.js";
+import type { RequestContext } from "./request_context.js";
+import { runAttempt } from "./run_attempt.js";
+import { RunMove } from "./run_move.js";
+import { StreamSession } from "./stream_session.js";
+
+/** Connections take a round trip, which is under 100 ms between regions. */
+const CONNECT_TIMEOUT_MS = 700;
+/** Runners that one request is offered to; those that reject it count. */
+const MAX_OFFERS = 5;
+/** Share of the target latency that a request waits for a place. */
+const WAIT_SHARE = 0.9;
+/** Share of the target after which a silent attempt is repeated elsewhere. */
+const SLOW_SHARE = 0.8;
+/** A final answer leaves this much before the route's timeout. */
+const ANSWER_MARGIN_MS = 20;
+/** Ranks at an engine: urgent requests, then the rest; 0 is first. */
+const ENGINE_PRIORITY_STEP = 2;
+
+/** The parts that a relay works with. */
+interface RelayParts {
+  readonly codec: GatewayCodec;
+  readonly control: EngineControl;
+  readonly pool: ConnectionPool;
+  readonly desk: PlacementDesk;
+  readonly directory: RunnerDirectory;
+  readonly outliers: OutlierScores;
+  readonly allowance: RetryAllowance;
+  readonly quarantine: Quarantine;
+  readonly noteBreak: (runner: GatewayRunner, fingerprint: string) => void;
+  readonly metrics: Metrics;
+  readonly logger: Logger;
+}
+
+/** Carries requests to runners and their answers back. */
+export class RequestRelay {
+  readonly #parts: RelayParts;
+  readonly #places = new RateMeter();
+  readonly #moves = new Map<string, Set<RunMove>>();
+
+  constructor(parts: RelayParts) {
+    this.#parts = parts;
+    parts.directory.events.on("leaving", (runner) => {
+      for (const move of this.#moves.get(runner.runnerId) ?? []) move.start();
+    });
+  }
+
+  /** Serves one request to its end; the answer has then been sent. */
+  async serve(context: RequestContext): Promise<FinalOutcome> {
+    const { service, answer } = context;
+    const session =
+      context.route.repeat.type === "stream"
+        ? new StreamSession(answer, {
+            tokensPerEvent: service.engine?.tokensPerEvent ?? 1,
+            lastEventId: context.request.lastEventId,
+          })
+        : undefined;
+    this.#parts.allowance.noteRequest(service.serviceId);
+    const progress: RelayProgress = {
+      excluded: new Set(),
+      offers: 0,
+      runs: 0,
+      mayHaveRun: false,
+      lastReason: "",
+      lastFailure: undefined,
+      continueAt: undefined,
+    };
+    return await this.#runAttempts(context, session, progress);
+  }
+
+  async #runAttempts(
+    context: RequestContext,
+    session: StreamSession | undefined,
+    progress: RelayProgress,
+  ): Promise<FinalOutcome> {
+    for (;;) {
+      if (context.answer.gone.aborted) return { type: "caller_left" };
+      if (remainingMs(context) <= 0) return this.#giveUp(context, progress);
+      const runner = await this.#findRunner(context, progress);
+      if (!runner) return this.#giveUp(context, progress);
+      const outcome = await this.#attempt(context, session, {
+        runner,
+        progress,
+      });
+      const final = this.#afterAttempt(context, session, {
+        runner,
+        outcome,
+        progress,
+      });
+      if (final) return final;
+    }
+  }
+
+  async #findRunner(
+    context: RequestContext,
+    progress: RelayProgress,
+  ): Promise<GatewayRunner | undefined> {
+    const { continueAt } = progress;
+    if (continueAt) return continueAt.runner;
+    const { route, service, request, answer } = context;
+    const { desk, allowance } = this.#parts;
+    if (progress.offers >= MAX_OFFERS) return undefined;
+    if (progress.runs >= Math.max(1, route.maxAttempts)) return undefined;
+    const isExtra = progress.offers > 0;
+    if (isExtra && !allowance.tryTake(service.serviceId)) {
+      progress.lastReason += ", no retries are left";
+      return undefined;
+    }
+    const sinceMs = monotonicMs() - context.receivedAtMs;
+    const targetMs = route.targetLatencyMs * WAIT_SHARE - sinceMs;
+    const choice = await desk.find(
+      {
+        service,
+        teamId: context.team?.teamId ?? "",
+        work: request.work,
+        isUrgent: context.priority === 0,
+        excludedRunnerIds: progress.excluded,
+      },
+      {
+        maxWaitMs: Math.min(targetMs, remainingMs(context)),
+        signal: answer.gone,
+      },
+    );
+    if (choice.type === "placed") return choice.runner;
+    progress.lastReason ||=
+      choice.type === "held" ? "no runner has room" : "no runner is left";
+    return undefined;
+  }
+
+  async #attempt(
+    context: RequestContext,
+    session: StreamSession | undefined,
+    plan: { readonly runner: GatewayRunner; readonly progress: RelayProgress },
+  ): Promise<AttemptOutcome> {
+    const { runner, progress } = plan;
+    const { request, route, service } = context;
+    const { desk, pool, codec, directory } = this.#parts;
+    const placement = desk.take(runner.runnerId, request.work);
+    session?.follow(placement);
+    const move = this.#watchMove(context, runner);
+    const continueFrom = progress.continueAt?.memory;
+    progress.continueAt = undefined;
+    try {
+      const opened = await pool.take(runner, {
+        isFresh: !mayRepeat(route.repeat) || continueFrom !== undefined,
+        timeoutMs: Math.min(CONNECT_TIMEOUT_MS, remainingMs(context)),
+        signal: context.answer.gone,
+      });
+      if (!opened.ok) return { type: "not_sent", reason: opened.error };
+      const connection = opened.value;
+      // The runner may have begun to leave while the connection was made.
+      if (!continueFrom && directory.isLeaving(runner.runnerId)) {
+        connection.close();
+        return { type: "not_sent", reason: "the runner leaves" };
+      }
+      const leftMs = remainingMs(context);
+      if (leftMs <= 0) {
+        connection.close();
+        return { type: "timed_out" };
+      }
+      progress.offers += 1;
+      this.#places.note();
+      const { outcome, head } = await runAttempt(connection, {
+        codec,
+        requestId: request.requestId,
+        method: request.method,
+        target: request.target,
+        headers: codec.encodeAttempt(request, {
+          runnerId: runner.runnerId,
+          teamId: context.team?.teamId,
+          remainingMs: leftMs,
+          enginePriority: service.engine
+            ? Math.min(9, context.priority * ENGINE_PRIORITY_STEP)
+            : undefined,
+          continueFrom,
+          lastEventId: session?.lastEventId,
+        }),
+        body: context.body,
+        signal: context.answer.gone,
+        remainingMs: leftMs,
+        firstByteMs: this.#firstByteMs(context, progress),
+        receiver: session,
+      });
+      if (head?.isClosing && head.execution !== "wrong_runner") {
+        connection.close();
+      } else if (outcome.type === "answered" || outcome.type === "streamed") {
+        pool.giveBack(runner.runnerId, connection, head?.keepAliveMs);
+      }
+      if (outcome.type === "broken" && move) {
+        const state = await move.settleAfterBreak();
+        if (state.type === "stopped") {
+          progress.continueAt = { runner: state.runner, memory: state.memory };
+        }
+      }
+      return outcome;
+    } finally {
+      desk.release(placement);
+      move?.finish();
+      if (move) this.#moves.get(runner.runnerId)?.delete(move);
+    }
+  }
+
+  // Decides what follows an attempt; undefined means another one.
+  #afterAttempt(
+    context: RequestContext,
+    session: StreamSession | undefined,
+    attempt: {
+      readonly runner: GatewayRunner;
+      readonly outcome: AttemptOutcome;
+      readonly progress: RelayProgress;
+    },
+  ): FinalOutcome | undefined {
+    const { runner, outcome, progress } = attempt;
+    this.#logAttempt(context, attempt);
+    progress.excluded.add(runner.runnerId);
+    const canRepeat = mayRepeat(context.route.repeat);
+    switch (outcome.type) {
+      case "not_sent":
+        this.#parts.outliers.note(runner.runnerId, true);
+        progress.lastReason = outcome.reason;
+        return undefined;
+      case "rejected":
+        progress.lastReason = outcome.reason;
+        return undefined;
+      case "streamed":
+        this.#noteSuccess(context, runner);
+        session?.end();
+        return { type: "delivered", statusCode: 200 };
+      case "answered": {
+        const isFailure = outcome.head.statusCode >= 500;
+        if (isFailure) this.#parts.outliers.note(runner.runnerId, true);
+        else this.#noteSuccess(context, runner);
+        if (isFailure && canRepeat && !context.answer.hasBegun) {
+          progress.runs += 1;
+          progress.mayHaveRun = true;
+          progress.lastFailure = outcome;
+          progress.lastReason = `status ${outcome.head.statusCode}`;
+          return undefined;
+        }
+        return this.#deliver(context, outcome);
+      }
+      case "broken":
+        this.#parts.outliers.note(runner.runnerId, true);
+        progress.lastReason = outcome.reason;
+        if (progress.continueAt) return undefined;
+        this.#parts.noteBreak(runner, context.fingerprint);
+        progress.runs += 1;
+        progress.mayHaveRun = true;
+        return canRepeat ? undefined : this.#giveUp(context, progress);
+      case "slow":
+        this.#parts.outliers.note(runner.runnerId, true);
+        progress.runs += 1;
+        progress.mayHaveRun = true;
+        progress.lastReason = "the runner was slow";
+        return undefined;
+      case "timed_out":
+        progress.mayHaveRun = true;
+        progress.lastReason = "the time is up";
+        return this.#giveUp(context, progress);
+      case "caller_left":
+        return { type: "caller_left" };
+    }
+  }
+
+  #deliver(
+    { answer, request }: RequestContext,
+    { head, body }: Extract<AttemptOutcome, { type: "answered" }>,
+  ): FinalOutcome {
+    if (answer.hasBegun) {
+      answer.abort();
+      return { type: "cut", reason: `status ${head.statusCode} in mid-stream` };
+    }
+    const hasBody = request.method !== "HEAD" && head.statusCode !== 204;
+    const length = hasBody ? ["content-length", String(body.length)] : [];
+    answer.begin(head.statusCode, [...head.forwardedHeaders, ...length]);
+    answer.end(body);
+    return { type: "delivered", statusCode: head.statusCode };
+  }
+
+  #giveUp(context: RequestContext, progress: RelayProgress): FinalOutcome {
+    const { answer } = context;
+    const reason = progress.lastReason || "the time is up";
+    if (answer.gone.aborted) return { type: "caller_left" };
+    if (answer.hasBegun) {
+      answer.abort();
+      return { type: "cut", reason };
+    }
+    if (progress.lastFailure)
+      return this.#deliver(context, progress.lastFailure);
+    if (!progress.mayHaveRun) {
+      const retryAfterMs = estimateRetryAfter({
+        waitingCount: this.#parts.desk.waitingCount,
+        placesPerSecond: this.#places.perSecond,
+        random: Math.random(),
+      });
+      return refuse({ type: "not_run", reason, retryAfterMs });
+    }
+    return remainingMs(context) <= 0
+      ? refuse({ type: "timed_out", reason })
+      : refuse({ type: "may_have_run", reason });
+  }
+
+  #noteSuccess({ fingerprint }: RequestContext, runner: GatewayRunner): void {
+    this.#parts.outliers.note(runner.runnerId, false);
+    this.#parts.quarantine.noteServed(fingerprint);
+  }
+
+  #firstByteMs(
+    { route, receivedAtMs }: RequestContext,
+    progress: RelayProgress,
+  ): number | undefined {
+    const isLast = progress.runs + 1 >= route.maxAttempts;
+    if (!mayRepeat(route.repeat) || isLast) return undefined;
+    const sinceMs = monotonicMs() - receivedAtMs;
+    const leftMs = route.targetLatencyMs * SLOW_SHARE - sinceMs;
+    return leftMs > 0 ? leftMs : undefined;
+  }
+
+  #watchMove(
+    context: RequestContext,
+    runner: GatewayRunner,
+  ): RunMove | undefined {
+    const { service, request } = context;
+    if (!service.engine?.canMove) return undefined;
+    const { control, desk, logger } = this.#parts;
+    const move = new RunMove({
+      source: runner,
+      requestId: request.requestId,
+      control,
+      logger,
+      chooseTarget: (refused) => {
+        const choice = desk.choose(
+          {
+            service,
+            teamId: context.team?.teamId ?? "",
+            work: request.work,
+            isUrgent: true,
+            excludedRunnerIds: new Set([...refused, runner.runnerId]),
+          },
+          runner,
+        );
+        return choice.type === "placed" ? choice.runner : undefined;
+      },
+    });
+    const moves = this.#moves.get(runner.runnerId) ?? new Set();
+    moves.add(move);
+    this.#moves.set(runner.runnerId, moves);
+    return move;
+  }
+
+  #logAttempt(
+    context: RequestContext,
+    attempt: {
+      readonly runner: GatewayRunner;
+      readonly outcome: AttemptOutcome;
+      readonly progress: RelayProgress;
+    },
+  ): void {
+    const { runner, outcome, progress } = attempt;
+    this.#parts.logger.info("attempt", {
+      request: context.request.requestId,
+      route: context.route.routeId,
+      runner: runner.runnerId,
+      zone: runner.availabilityZone,
+      offer: progress.offers,
+      outcome: outcome.type,
+      reason: "reason" in outcome ? outcome.reason : undefined,
+      goes_on_at: progress.continueAt?.runner.runnerId,
+      config_version: context.configVersion,
+      since_ms: monotonicMs() - context.receivedAtMs,
+    });
+  }
+}
+
+function remainingMs({ deadlineAtMs }: RequestContext): number {
+  return deadlineAtMs - ANSWER_MARGIN_MS - monotonicMs();
+}
+
+function refuse(refusal: Refusal): FinalOutcome {
+  return { type: "refused", refusal };
+}
--- /dev/null
+++ b/packages/gateway/src/server/gateway_instance.ts
@@ -0,0 +1,299 @@
+import type { Server } from "node:http";
+import type { Http2Server } from "node:http2";
+import {
+  LeavingRunners,
+  Membership,
+  PeerDirectory,
+  Quarantine,
+  servePeers,
+  Successions,
+} from "@jujubeladder/coordination";
+import type { Logger } from "@jujubeladder/logger";
+import { Metrics } from "@jujubeladder/metrics";
+import { createId, monotonicMs, sleep } from "@jujubeladder/utils";
+import { LoadBook } from "../decisions/load_book.js";
+import { OutlierScores } from "../decisions/outlier_scores.js";
+import { RetryAllowance } from "../decisions/retry_allowance.js";
+import { createGossipExtension } from "../mesh/create_gossip_extension.js";
+import { PeerRoster } from "../mesh/peer_roster.js";
+import type { EngineControl } from "../model/engine_control.js";
+import type { GatewayCodec } from "../model/gateway_codec.js";
+import type { MetadataStore } from "../model/metadata_store.js";
+import { toLifeId } from "../model/to_life_id.js";
+import { LossWatch } from "../relay/loss_watch.js";
+import { PlacementDesk } from "../relay/placement_desk.js";
+import { RequestRelay } from "../relay/request_relay.js";
+import { ConnectionPool } from "../transport/connection_pool.js";
+import { ConfigInForce } from "../views/config_in_force.js";
+import { followConfig } from "../views/follow_config.js";
+import { followRunners } from "../views/follow_runners.js";
+import { RunnerDirectory } from "../views/runner_directory.js";
+import { CallerServer } from "./caller_server.js";
+import type { GatewaySettings } from "./gateway_settings.js";
+import { serveSimple } from "./serve_simple.js";
+
+/** Instances swap loads this often; engines report with a similar lag. */
+const GOSSIP_INTERVAL_MS = 300;
+/** Fleet size that is assumed before peers have been heard of. */
+const LEAST_FLEET = 10;
+/** Different runners lost to one request until it is barred. */
+const QUARANTINE_LOSSES = 3;
+/** Nothing succeeds itself here; handovers are not part of the gateway. */
+const SUCCESSION_KEPT_MS = 1_000;
+const HOUSEKEEPING_MS = 500;
+/** The balancer needs two readiness checks, a second apart, to stop. */
+const STOP_ACCEPT_MS = 3_500;
+/** Exit this much before the kill. */
+const STOP_MARGIN_MS = 400;
+/** No request has come for this long when a stopping instance exits. */
+const STOP_QUIET_MS = 300;
+const STOP_POLL_MS = 25;
+
+/** One gateway instance: wires the parts, starts and stops them. */
+export class GatewayInstance {
+  readonly #settings: GatewaySettings;
+  readonly #logger: Logger;
+  readonly #metrics = new Metrics();
+  readonly #config: ConfigInForce;
+  readonly #directory: RunnerDirectory;
+  readonly #pool = new ConnectionPool();
+  readonly #roster: PeerRoster;
+  readonly #membership: Membership;
+  readonly #peers: PeerDirectory;
+  readonly #callers: CallerServer;
+  readonly #store: MetadataStore;
+  readonly #droppedLogLines: () => number;
+  readonly #stopping = new AbortController();
+  #stopAtMs: number | undefined;
+  readonly #servers: (Server | Http2Server)[] = [];
+
+  constructor(
+    settings: GatewaySettings,
+    parts: {
+      readonly codec: GatewayCodec;
+      readonly control: EngineControl;
+      readonly store: MetadataStore;
+      readonly logger: Logger;
+      readonly droppedLogLines: () => number;
+    },
+  ) {
+    const { logger, codec, control } = parts;
+    this.#settings = settings;
+    this.#logger = logger;
+    this.#store = parts.store;
+    this.#droppedLogLines = parts.droppedLogLines;
+    this.#config = new ConfigInForce(codec, logger);
+    this.#directory = new RunnerDirectory(logger);
+    const loads = new LoadBook();
+    const outliers = new OutlierScores();
+    const quarantine = new Quarantine(QUARANTINE_LOSSES);
+    const ownAddress = `${settings.peers.host}:${settings.peers.port}`;
+    this.#roster = new PeerRoster(ownAddress, settings.seeds);
+    this.#peers = new PeerDirectory((id) => this.#roster.find(id));
+    this.#membership = this.#createMembership(ownAddress, {
+      loads,
+      quarantine,
+    });
+    const lossWatch = new LossWatch({
+      directory: this.#directory,
+      quarantine,
+      logger,
+    });
+    const { availabilityZone, region } = settings;
+    const relay = new RequestRelay({
+      codec,
+      control,
+      pool: this.#pool,
+      desk: new PlacementDesk({
+        directory: this.#directory,
+        loads,
+        outliers,
+        place: { availabilityZone, region },
+      }),
+      directory: this.#directory,
+      outliers,
+      allowance: new RetryAllowance(settings.retry, () =>
+        Math.max(LEAST_FLEET, this.#roster.mostInstances),
+      ),
+      quarantine,
+      noteBreak: (runner, fingerprint) => {
+        lossWatch.noteBreak(runner, fingerprint);
+      },
+      metrics: this.#metrics,
+      logger,
+    });
+    this.#callers = new CallerServer({
+      codec,
+      config: this.#config,
+      relay,
+      quarantine,
+      keyProofMaxAgeMs: settings.keyProofMaxAgeMs,
+      stopLeftMs: () => this.#stopLeftMs(),
+      metrics: this.#metrics,
+      logger,
+    });
+  }
+
+  /** True when new callers may be sent here. */
+  get isReady(): boolean {
+    const { keyProofMaxAgeMs = Number.POSITIVE_INFINITY } = this.#settings;
+    return (
+      this.#stopAtMs === undefined &&
+      this.#config.version > 0 &&
+      this.#directory.size > 0 &&
+      this.#config.confirmedAgeMs <= keyProofMaxAgeMs
+    );
+  }
+
+  /** Listens on all addresses and begins to follow the store. */
+  async start(): Promise<void> {
+    const { settings, signal } = {
+      settings: this.#settings,
+      signal: this.#stopping.signal,
+    };
+    const following = { logger: this.#logger, signal };
+    void followConfig(this.#store, this.#config, following);
+    void followRunners(this.#store, this.#directory, following);
+    const { readiness, metrics } = settings;
+    this.#servers.push(
+      await serveSimple(readiness, (path) => ({
+        statusCode: path === readiness.path && this.isReady ? 200 : 503,
+        text: this.isReady ? "ready\n" : "not ready\n",
+      })),
+    );
+    if (metrics) {
+      this.#servers.push(
+        await serveSimple(metrics, (path) => ({
+          statusCode: path === metrics.path ? 200 : 404,
+          text: path === metrics.path ? this.#metricsText() : "",
+        })),
+      );
+    }
+    this.#servers.push(
+      await servePeers(
+        {
+          gossip: ({ digest }) =>
+            digest ? { digest: this.#membership.answer(digest) } : {},
+          fetchDocument: ({ leastRevision }) => {
+            const { version, text } = this.#config;
+            const isWanted = version >= Number(leastRevision);
+            return {
+              revision: BigInt(version),
+              documentJson: isWanted ? text : "",
+            };
+          },
+        },
+        settings.peers,
+      ),
+    );
+    void this.#membership.run(signal);
+    await this.#callers.listen(settings.callers);
+    void this.#keepHouse(signal);
+    this.#logger.info("started", {
+      instance: settings.instanceName,
+      zone: settings.availabilityZone,
+      caller_port: settings.callers.port,
+      peer_port: settings.peers.port,
+    });
+  }
+
+  /**
+   * Turns new callers away, finishes what is under way, and closes; resolves
+   * before the platform would kill the process.
+   */
+  async stop(): Promise<void> {
+    if (this.#stopAtMs !== undefined) return;
+    const startedAtMs = monotonicMs();
+    const { stopGraceMs } = this.#settings;
+    this.#stopAtMs = startedAtMs + stopGraceMs - STOP_MARGIN_MS;
+    this.#logger.info("stopping", { active: this.#callers.activeCount });
+    void this.#membership.leave();
+    while ((this.#stopLeftMs() ?? 0) > 0) {
+      const isAccepting = monotonicMs() - startedAtMs < STOP_ACCEPT_MS;
+      const isBusy =
+        this.#callers.activeCount > 0 || this.#callers.quietMs < STOP_QUIET_MS;
+      if (!isAccepting && !isBusy) break;
+      await sleep(STOP_POLL_MS);
+    }
+    this.#logger.info("stopped", { cut: this.#callers.activeCount });
+    this.#stopping.abort();
+    this.#callers.close();
+    this.#pool.closeAll();
+    this.#peers.close();
+    for (const server of this.#servers) server.close();
+  }
+
+  #createMembership(
+    ownAddress: string,
+    parts: { readonly loads: LoadBook; readonly quarantine: Quarantine },
+  ): Membership {
+    const { availabilityZone, region } = this.#settings;
+    const config = this.#config;
+    const leavingRunners = new LeavingRunners();
+    this.#directory.events.on("leaving", (runner) => {
+      leavingRunners.note(toLifeId(runner));
+    });
+    return new Membership(
+      {
+        identity: { instanceId: ownAddress, incarnation: createId() },
+        availabilityZone,
+        region,
+        leavingRunners,
+        quarantine: parts.quarantine,
+        successions: new Successions(SUCCESSION_KEPT_MS),
+        revision: () => config.version,
+        documentHash: () => config.hash,
+        offerDocument: (text) => {
+          config.offer(text, "peer");
+        },
+        extension: createGossipExtension({
+          roster: this.#roster,
+          loads: parts.loads,
+          config,
+          directory: this.#directory,
+        }),
+      },
+      {
+        directory: this.#peers,
+        listInstances: () => this.#roster.listInstances(),
+        logger: this.#logger,
+        intervalMs: GOSSIP_INTERVAL_MS,
+      },
+    );
+  }
+
+  #stopLeftMs(): number | undefined {
+    return this.#stopAtMs === undefined
+      ? undefined
+      : this.#stopAtMs - monotonicMs();
+  }
+
+  async #keepHouse(signal: AbortSignal): Promise<void> {
+    let wasReady: boolean | undefined;
+    while (!signal.aborted) {
+      this.#pool.closeIdle();
+      const { isReady } = this;
+      if (isReady !== wasReady) {
+        this.#logger.info("readiness", {
+          is_ready: isReady,
+          config_version: this.#config.version,
+          config_age_ms: this.#config.confirmedAgeMs,
+          runners: this.#directory.size,
+        });
+        wasReady = isReady;
+      }
+      await sleep(HOUSEKEEPING_MS, signal);
+    }
+  }
+
+  #metricsText(): string {
+    const gauges = [
+      `jujubeladder_active_requests ${this.#callers.activeCount}`,
+      `jujubeladder_config_version ${this.#config.version}`,
+      `jujubeladder_config_age_ms ${this.#config.confirmedAgeMs}`,
+      `jujubeladder_runners ${this.#directory.size}`,
+      `jujubeladder_log_lines_dropped_total ${this.#droppedLogLines()}`,
+    ];
+    return `${this.#metrics.toScrapeText()}${gauges.join("\n")}\n`;
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/server/http_caller_answer.ts
@@ -0,0 +1,52 @@
+import type { ServerResponse } from "node:http";
+import type { CallerAnswer } from "../relay/caller_answer.js";
+
+/** The way back to a caller over HTTP. */
+export class HttpCallerAnswer implements CallerAnswer {
+  readonly #response: ServerResponse;
+  readonly #gone = new AbortController();
+  readonly #isClosing: () => boolean;
+
+  /** With `isClosing` the connection ends with this answer. */
+  constructor(response: ServerResponse, isClosing: () => boolean) {
+    this.#response = response;
+    this.#isClosing = isClosing;
+    response.on("close", () => {
+      if (!response.writableFinished) this.#gone.abort();
+    });
+    response.on("error", () => {
+      this.#gone.abort();
+    });
+  }
+
+  get gone(): AbortSignal {
+    return this.#gone.signal;
+  }
+
+  get hasBegun(): boolean {
+    return this.#response.headersSent;
+  }
+
+  begin(statusCode: number, headers: readonly string[]): void {
+    const close = this.#isClosing() ? ["connection", "close"] : [];
+    this.#response.writeHead(statusCode, [...headers, ...close]);
+    this.#response.flushHeaders();
+  }
+
+  write(chunk: Uint8Array): boolean {
+    return this.#response.write(chunk);
+  }
+
+  onDrain(resume: () => void): void {
+    this.#response.once("drain", resume);
+  }
+
+  end(chunk?: Uint8Array): void {
+    if (chunk) this.#response.end(chunk);
+    else this.#response.end();
+  }
+
+  abort(): void {
+    this.#response.destroy();
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/transport/runner_connection.ts
@@ -0,0 +1,159 @@
+import { connect as connectSocket, type Socket } from "node:net";
+import process from "node:process";
+import { Client, type Dispatcher } from "undici";
+import type { Result } from "@jujubeladder/types";
+import { describeError, monotonicMs } from "@jujubeladder/utils";
+import type { AnswerSink } from "./answer_sink.js";
+import type { Exchange } from "./exchange.js";
+
+/** Idle time before the kernel probes a connection. */
+const TCP_PROBE_DELAY_MS = 1_000;
+/** Backstop; the pool closes idle connections far earlier. */
+const CLIENT_IDLE_MS = 60_000;
+
+/** Where a connection leads. */
+interface Endpoint {
+  readonly host: string;
+  readonly port: number;
+}
+
+/** One connection to a runner, for one request at a time. */
+export class RunnerConnection {
+  readonly #client: Client;
+  readonly #socket: Socket;
+  #idleSinceMs = monotonicMs();
+
+  private constructor(socket: Socket, endpoint: Endpoint) {
+    this.#socket = socket;
+    let isTaken = false;
+    this.#client = new Client(`http://${endpoint.host}:${endpoint.port}`, {
+      // The client may not connect anew by itself, since a request must be
+      // known to be unsent while there is no connection.
+      connect: (_options, callback) => {
+        const wasTaken = isTaken;
+        isTaken = true;
+        // The client does not expect the socket before this call returns.
+        process.nextTick(() => {
+          if (wasTaken) callback(new Error("the connection has closed"), null);
+          else callback(null, socket);
+        });
+      },
+      pipelining: 1,
+      headersTimeout: 0,
+      bodyTimeout: 0,
+      keepAliveTimeout: CLIENT_IDLE_MS,
+      keepAliveMaxTimeout: CLIENT_IDLE_MS,
+    });
+    this.#client.on("disconnect", () => undefined);
+  }
+
+  /** Connects; an error means that nothing was sent. */
+  static async open(
+    endpoint: Endpoint,
+    options: { readonly timeoutMs: number; readonly signal?: AbortSignal },
+  ): Promise<Result<RunnerConnection, string>> {
+    return await new Promise((resolve) => {
+      const socket = connectSocket({ ...endpoint, noDelay: true });
+      socket.setKeepAlive(true, TCP_PROBE_DELAY_MS);
+      const finish = (result: Result<RunnerConnection, string>) => {
+        clearTimeout(timer);
+        socket.removeListener("error", onError);
+        options.signal?.removeEventListener("abort", onAbort);
+        if (!result.ok) {
+          socket.on("error", () => undefined);
+          socket.destroy();
+        }
+        resolve(result);
+      };
+      const onError = (error: Error) => {
+        finish({ ok: false, error: describeError(error) });
+      };
+      const onAbort = () => {
+        finish({ ok: false, error: "the caller has left" });
+      };
+      const timer = setTimeout(() => {
+        finish({ ok: false, error: "the connection timed out" });
+      }, options.timeoutMs);
+      socket.once("error", onError);
+      options.signal?.addEventListener("abort", onAbort, { once: true });
+      socket.once("connect", () => {
+        // Errors after this are the client's to report.
+        socket.on("error", () => undefined);
+        finish({ ok: true, value: new RunnerConnection(socket, endpoint) });
+      });
+    });
+  }
+
+  /** False once the other end has closed or failed. */
+  get isOpen(): boolean {
+    const { destroyed, readable, writable } = this.#socket;
+    return !this.#client.destroyed && !destroyed && readable && writable;
+  }
+
+  get idleMs(): number {
+    return monotonicMs() - this.#idleSinceMs;
+  }
+
+  /** Sends a request; from here on the runner may have run it. */
+  send(
+    request: {
+      readonly method: string;
+      readonly target: string;
+      readonly headers: string[];
+      readonly body: Buffer | null;
+    },
+    sink: AnswerSink,
+  ): Exchange {
+    let controller: Dispatcher.DispatchController | undefined;
+    let isDone = false;
+    const end = (act: () => void) => {
+      if (isDone) return;
+      isDone = true;
+      this.#idleSinceMs = monotonicMs();
+      act();
+    };
+    this.#client.dispatch(
+      {
+        method: request.method as Dispatcher.HttpMethod,
+        path: request.target,
+        headers: request.headers,
+        body: request.body,
+      },
+      {
+        onRequestStart: (started) => {
+          controller = started;
+          if (isDone) started.abort(new Error("cancelled"));
+        },
+        onResponseStart: (_controller, statusCode, headers) => {
+          if (!isDone) sink.onHead(statusCode, headers);
+        },
+        onResponseData: (started, chunk) => {
+          if (!isDone && !sink.onData(chunk)) started.pause();
+        },
+        onResponseEnd: () => {
+          end(() => {
+            sink.onEnd();
+          });
+        },
+        onResponseError: (_controller, error) => {
+          end(() => {
+            sink.onBroken(describeError(error));
+          });
+        },
+      },
+    );
+    return {
+      resume: () => controller?.resume(),
+      cancel: () => {
+        isDone = true;
+        this.close();
+      },
+    };
+  }
+
+  close(): void {
+    // A reset reaches the runner even if it does not read.
+    this.#socket.destroy();
+    void this.#client.destroy();
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/views/config_source.ts
@@ -0,0 +1,2 @@
+/** Where a configuration was read. */
+export type ConfigSource = "store" | "peer";
--- a/packages/jujubeladder/src/commands/run_check.ts
+++ b/packages/jujubeladder/src/commands/run_check.ts
@@ -3,7 +3,7 @@
 import {
   findConfigWarnings,
   parseConfigDocument,
-} from "@jujubeladder/platform";
+} from "@jujubeladder/configuration";
 import type { ConfigDocument } from "@jujubeladder/types";
 import { describeError } from "@jujubeladder/utils";
 import { exitWithUsage } from "./exit_with_usage.js";
--- a/packages/jujubeladder/src/entry/entry_instance.ts
+++ b/packages/jujubeladder/src/entry/entry_instance.ts
@@ -1,19 +1,23 @@
 import type { Server } from "node:http";
 import type { Http2Server } from "node:http2";
-import type { OrderKeeper, SubmissionBody } from "@jujubeladder/coordination";
+import {
+  servePeers,
+  type OrderKeeper,
+  type SubmissionBody,
+} from "@jujubeladder/coordination";
 import { Logger } from "@jujubeladder/logger";
 import {
   PlatformClient,
   resolveSettings,
   watchConfig,
   watchInstances,
-} from "@jujubeladder/platform";
+} from "@jujubeladder/configuration";
 import type { PlacementDecision } from "@jujubeladder/scheduling";
 import type { SubmissionResult, Ticket } from "@jujubeladder/types";
 import { SealBox, sleep } from "@jujubeladder/utils";
 import { createAdminApp } from "../http/create_admin_app.js";
 import { createCallerApp } from "../http/create_caller_app.js";
-import { Metrics } from "../metrics/metrics.js";
+import { Metrics } from "@jujubeladder/metrics";
 import { GenerationRelay } from "../relay/generation_relay.js";
 import { PlainRelay } from "../relay/plain_relay.js";
 import { RunnerAccess } from "../relay/runner_access.js";
@@ -25,7 +29,6 @@
 import { EntryViews } from "./entry_views.js";
 import { explainPlacement } from "./explain_placement.js";
 import { serve } from "./serve.js";
-import { servePeers } from "./serve_peers.js";
 
 const HANDLE_PURPOSE = "stream handle";
 const READY_POLL_MS = 50;
--- a/packages/jujubeladder/src/entry/entry_views.ts
+++ b/packages/jujubeladder/src/entry/entry_views.ts
@@ -4,7 +4,7 @@
   Successions,
 } from "@jujubeladder/coordination";
 import type { Logger } from "@jujubeladder/logger";
-import { ConfigView, InstanceListView } from "@jujubeladder/platform";
+import { ConfigView, InstanceListView } from "@jujubeladder/configuration";
 import type { PeerIdentity } from "@jujubeladder/types";
 import { createId } from "@jujubeladder/utils";
 import type { EntrySettings } from "../settings/entry_settings.js";
--- a/packages/jujubeladder/src/entry/explain_placement.ts
+++ b/packages/jujubeladder/src/entry/explain_placement.ts
@@ -1,4 +1,4 @@
-import { resolveSettings } from "@jujubeladder/platform";
+import { resolveSettings } from "@jujubeladder/configuration";
 import type { PlacementDecision, Scheduler } from "@jujubeladder/scheduling";
 import type { ConfigDocument } from "@jujubeladder/types";
 
--- a/packages/jujubeladder/src/http/authenticate.ts
+++ b/packages/jujubeladder/src/http/authenticate.ts
@@ -1,6 +1,6 @@
 import type { Request } from "express";
 import type { ConfigDocument, Result, Team } from "@jujubeladder/types";
-import type { ConfigView } from "@jujubeladder/platform";
+import type { ConfigView } from "@jujubeladder/configuration";
 import type { ApiError } from "./api_error.js";
 
 const BEARER = /^Bearer (.+)$/i;
--- a/packages/jujubeladder/src/http/authenticate_or_refuse.ts
+++ b/packages/jujubeladder/src/http/authenticate_or_refuse.ts
@@ -1,6 +1,6 @@
 import type { Request, Response } from "express";
 import type { ConfigDocument, Team } from "@jujubeladder/types";
-import type { ConfigView } from "@jujubeladder/platform";
+import type { ConfigView } from "@jujubeladder/configuration";
 import { authenticate } from "./authenticate.js";
 import { sendError } from "./send_error.js";
 
--- a/packages/jujubeladder/src/http/caller_context.ts
+++ b/packages/jujubeladder/src/http/caller_context.ts
@@ -1,8 +1,8 @@
-import type { ConfigView, InstanceListView } from "@jujubeladder/platform";
+import type { ConfigView, InstanceListView } from "@jujubeladder/configuration";
 import type { TicketService } from "@jujubeladder/coordination";
 import type { Logger } from "@jujubeladder/logger";
 import type { SealBox } from "@jujubeladder/utils";
-import type { Metrics } from "../metrics/metrics.js";
+import type { Metrics } from "@jujubeladder/metrics";
 import type { GenerationRelay } from "../relay/generation_relay.js";
 import type { PlainRelay } from "../relay/plain_relay.js";
 
--- a/packages/jujubeladder/src/http/create_admin_app.ts
+++ b/packages/jujubeladder/src/http/create_admin_app.ts
@@ -1,6 +1,6 @@
 import express, { type Express } from "express";
 import type { PlacementDecision } from "@jujubeladder/scheduling";
-import type { Metrics } from "../metrics/metrics.js";
+import type { Metrics } from "@jujubeladder/metrics";
 
 /** What operators may ask of an instance. */
 interface AdminContext {
--- a/packages/jujubeladder/src/http/handle_chat.ts
+++ b/packages/jujubeladder/src/http/handle_chat.ts
@@ -1,5 +1,5 @@
 import type { Request, Response } from "express";
-import { resolveSettings } from "@jujubeladder/platform";
+import { resolveSettings } from "@jujubeladder/configuration";
 import { createId } from "@jujubeladder/utils";
 import { authenticateOrRefuse } from "./authenticate_or_refuse.js";
 import type { CallerContext } from "./caller_context.js";
--- a/packages/jujubeladder/src/http/parse_generation_work.ts
+++ b/packages/jujubeladder/src/http/parse_generation_work.ts
@@ -1,4 +1,4 @@
-import { resolveSettings } from "@jujubeladder/platform";
+import { resolveSettings } from "@jujubeladder/configuration";
 import type {
   ConfigDocument,
   EngineService,
--- a/packages/jujubeladder/src/http/send_stream.ts
+++ b/packages/jujubeladder/src/http/send_stream.ts
@@ -1,6 +1,6 @@
 import type { Response } from "express";
 import type { GenerationEvent } from "@jujubeladder/types";
-import type { Metrics } from "../metrics/metrics.js";
+import type { Metrics } from "@jujubeladder/metrics";
 import { sendError } from "./send_error.js";
 import { SseWriter } from "./sse_writer.js";
 import { toFailureError } from "./to_failure_error.js";
--- a/packages/jujubeladder/src/relay/generation_reader.ts
+++ b/packages/jujubeladder/src/relay/generation_reader.ts
@@ -11,7 +11,7 @@
   sleep,
   type SealBox,
 } from "@jujubeladder/utils";
-import type { Metrics } from "../metrics/metrics.js";
+import type { Metrics } from "@jujubeladder/metrics";
 import type { AttemptEnd } from "./attempt_end.js";
 
 const STALL_MS = 500;
--- a/packages/jujubeladder/src/relay/plain_relay.ts
+++ b/packages/jujubeladder/src/relay/plain_relay.ts
@@ -8,7 +8,7 @@
 } from "@jujubeladder/types";
 import { PlainServiceClient, type PlainOutcome } from "@jujubeladder/upstream";
 import { computeBackoffMs, sleep } from "@jujubeladder/utils";
-import type { Metrics } from "../metrics/metrics.js";
+import type { Metrics } from "@jujubeladder/metrics";
 import type { PlainCall } from "./plain_call.js";
 import type { RunnerAccess } from "./runner_access.js";
 
--- a/packages/jujubeladder/src/relay/relay_parts.ts
+++ b/packages/jujubeladder/src/relay/relay_parts.ts
@@ -3,7 +3,7 @@
 import type { RetryBudget, Scheduler } from "@jujubeladder/scheduling";
 import type { Runner } from "@jujubeladder/types";
 import type { SealBox } from "@jujubeladder/utils";
-import type { Metrics } from "../metrics/metrics.js";
+import type { Metrics } from "@jujubeladder/metrics";
 import type { RunnerAccess } from "./runner_access.js";
 
 /** What relaying generations needs of the instance. */
--- a/packages/jujubeladder/src/relay/runner_access.ts
+++ b/packages/jujubeladder/src/relay/runner_access.ts
@@ -2,7 +2,7 @@
 import { RunnerHealth, type OrderKeeper } from "@jujubeladder/coordination";
 import type { Logger } from "@jujubeladder/logger";
 import type { PrefixView } from "@jujubeladder/scheduling";
-import type { InstanceListView } from "@jujubeladder/platform";
+import type { InstanceListView } from "@jujubeladder/configuration";
 import type { Result, Runner, RunnerLoad } from "@jujubeladder/types";
 import { EngineClient, PlainServiceClient } from "@jujubeladder/upstream";
 import { monotonicMs, sleep } from "@jujubeladder/utils";
--- a/packages/jujubeladder/src/metrics/counter_name.ts
+++ b/packages/metrics/src/counter_name.ts
@@ -6,4 +6,10 @@
   | "resumes"
   | "preemptions_seen"
   | "runners_lost"
-  | "refusals";
+  | "refusals"
+  | "requests"
+  | "attempts"
+  | "callers_left"
+  | "answers_cut"
+  | "moves"
+  | "log_lines_dropped";
--- /dev/null
+++ b/packages/metrics/src/histogram_name.ts
@@ -0,0 +1,7 @@
+/** Durations that an instance measures, in milliseconds. */
+export type HistogramName =
+  | "first_token_ms"
+  | "token_gap_ms"
+  | "stall_ms"
+  | "queue_wait_ms"
+  | "answer_ms";
--- /dev/null
+++ b/packages/metrics/src/mod.ts
@@ -0,0 +1,4 @@
+/** Histograms and counters of one instance. */
+export type { CounterName } from "./counter_name.js";
+export type { HistogramName } from "./histogram_name.js";
+export { Metrics } from "./metrics.js";
--- a/packages/proofs/src/measure/measure_document_cost.ts
+++ b/packages/proofs/src/measure/measure_document_cost.ts
@@ -1,5 +1,5 @@
 import { Logger } from "@jujubeladder/logger";
-import { ConfigView } from "@jujubeladder/platform";
+import { ConfigView } from "@jujubeladder/configuration";
 import { hashToken, monotonicMs } from "@jujubeladder/utils";
 import { createConfig } from "../__tests__/harness/create_config.js";
 
--- a/packages/scheduling/src/fair_queue.ts
+++ b/packages/scheduling/src/fair_queue.ts
@@ -1,10 +1,10 @@
-import type { QueuedRequest } from "./queued_request.js";
+import type { QueueItem } from "./queue_item.js";
 
 const SHORT_CLASS_WEIGHT = 8;
 const STARVATION_MS = 4_000;
 
-interface Flow {
-  readonly waiting: QueuedRequest[];
+interface Flow<Item> {
+  readonly waiting: Item[];
   virtualTime: number;
 }
 
@@ -13,8 +13,8 @@
  * requests; it is charged by expected tokens over its weight, so that large
  * teams cannot starve small ones and short requests pass long ones.
  */
-export class FairQueue {
-  readonly #flows = new Map<string, Flow>();
+export class FairQueue<Item extends QueueItem> {
+  readonly #flows = new Map<string, Flow<Item>>();
   #virtualTime = 0;
   #size = 0;
 
@@ -30,7 +30,7 @@
     }, 0);
   }
 
-  push(item: QueuedRequest): void {
+  push(item: Item): void {
     const { teamId, isShort } = item.request;
     const key = flowKey(teamId, isShort);
     const flow = this.#flows.get(key) ?? {
@@ -48,8 +48,8 @@
    * that is taken leaves the queue. Once a long head has starved, no other
    * long request may pass it.
    */
-  drain(take: (item: QueuedRequest) => boolean, nowMs: number): void {
-    const heldFlows = new Set<Flow>();
+  drain(take: (item: Item) => boolean, nowMs: number): void {
+    const heldFlows = new Set<Flow<Item>>();
     let isLongBlocked = false;
     for (;;) {
       const flow = this.#nextFlow(heldFlows);
@@ -70,10 +70,8 @@
   }
 
   /** Takes out every request for which the predicate holds. */
-  removeWhere(
-    predicate: (item: QueuedRequest) => boolean,
-  ): readonly QueuedRequest[] {
-    const removed: QueuedRequest[] = [];
+  removeWhere(predicate: (item: Item) => boolean): readonly Item[] {
+    const removed: Item[] = [];
     for (const flow of this.#flows.values()) {
       for (let index = flow.waiting.length - 1; index >= 0; index -= 1) {
         const item = flow.waiting[index];
@@ -86,8 +84,8 @@
     return removed;
   }
 
-  #nextFlow(heldFlows: ReadonlySet<Flow>): Flow | undefined {
-    let next: Flow | undefined;
+  #nextFlow(heldFlows: ReadonlySet<Flow<Item>>): Flow<Item> | undefined {
+    let next: Flow<Item> | undefined;
     for (const flow of this.#flows.values()) {
       if (flow.waiting.length === 0 || heldFlows.has(flow)) continue;
       if (!next || flow.virtualTime < next.virtualTime) next = flow;
@@ -108,7 +106,7 @@
   return `${teamId}/${isShort ? "short" : "long"}`;
 }
 
-function charge(item: QueuedRequest): number {
+function charge(item: QueueItem): number {
   const classWeight = item.request.isShort ? SHORT_CLASS_WEIGHT : 1;
   return item.costTokens / (item.request.teamWeight * classWeight);
 }
--- a/packages/scheduling/src/mod.ts
+++ b/packages/scheduling/src/mod.ts
@@ -3,6 +3,7 @@
 export { choosePlacement } from "./choose_placement.js";
 export { choosePlainRunner } from "./choose_plain_runner.js";
 export { FairQueue } from "./fair_queue.js";
+export type { QueueItem } from "./queue_item.js";
 export { GrowthCurve } from "./growth_curve.js";
 export { GrowthProfile } from "./growth_profile.js";
 export { HORIZONS_TOKENS } from "./horizons.js";
--- a/packages/scheduling/src/scheduler.ts
+++ b/packages/scheduling/src/scheduler.ts
@@ -34,7 +34,7 @@
 /** Admits and places the generations of one service at one instance. */
 export class Scheduler {
   readonly lengths = new LengthModel();
-  readonly #queue = new FairQueue();
+  readonly #queue = new FairQueue<QueuedRequest>();
   readonly #profile = new GrowthProfile();
   readonly #books = new Map<string, RunnerBook>();
   readonly #recent: RecentPlacement[] = [];
--- a/packages/utils/src/mod.ts
+++ b/packages/utils/src/mod.ts
@@ -1,14 +1,17 @@
 /** Clocks, deadlines, backoff, sealing and hashing. */
+export type { ClockReading } from "./clock_reading.js";
 export { computeBackoffMs } from "./compute_backoff_ms.js";
 export { computeFingerprint } from "./compute_fingerprint.js";
 export { createId } from "./create_id.js";
 export { Deadline } from "./deadline.js";
 export { describeError } from "./describe_error.js";
+export { elapsedAtMostMs } from "./elapsed_at_most_ms.js";
 export { hashText } from "./hash_text.js";
 export { hashToken } from "./hash_token.js";
 export { monotonicMs } from "./monotonic_ms.js";
 export { parseJson } from "./parse_json.js";
 export { rankByRendezvous } from "./rank_by_rendezvous.js";
+export { readClocks } from "./read_clocks.js";
 export { SealBox } from "./seal_box.js";
 export { settleWithin } from "./settle_within.js";
 export { sleep } from "./sleep.js";
