Move runs late and apart: stop shortly before the source is gone

Cause: of 56 first copies 19 were cut by the source's end and 19 refused: all instances chose the same target, and final copies queued behind first ones. Ruled out: a wrong handle on refusals (the answers have no body). Change: the run is stopped 400 ms before the source is gone (its report says when), targets are spread by request id among runners of the source's zone with room, a run that has not begun is asked for again.

--- a/packages/gateway/src/decisions/advance_move.ts
+++ b/packages/gateway/src/decisions/advance_move.ts
@@ -5,77 +5,115 @@
 import type { MoveStep } from "./move_step.js";
 
 /** Targets without room that a move tries before it gives up. */
-const MAX_REFUSALS = 3;
+const MAX_REFUSALS = 5;
+/** A run begins with its first token, until which it can't be copied. */
+const MAX_MISSES = 12;
 
 type CopyAnswered = Extract<MoveEvent, { type: "copy_answered" }>;
-type Moving = Extract<MoveState, { type: "copying" | "stopping" }>;
+type Copying = Extract<MoveState, { type: "copying" }>;
+type Stopping = Extract<MoveState, { type: "stopping" }>;
 
 /**
- * Advances the move of one run: copy while it runs, then stop it and copy the
- * rest. A run is never asked to go on elsewhere before its runner has said
- * that it stopped.
+ * Advances the move of one run: copy while it runs, then, as late as can be,
+ * stop it and copy the rest, so that its caller waits for the rest only. A
+ * run is asked to go on elsewhere only once its source has said that it
+ * stopped, or its stream has broken.
  */
 export function advanceMove(state: MoveState, event: MoveEvent): MoveStep {
   switch (event.type) {
-    case "run_ended":
-      return state.type === "stopped"
-        ? { state }
-        : { state: { type: "given_up", reason: "the run has ended" } };
     case "source_leaves":
-      return state.type === "resting" ? begin(event) : { state };
+      return state.type === "resting" ? begin(event.target) : { state };
+    case "copy_answered":
+      if (state.type === "copying") return afterCopy(state, event);
+      if (state.type === "stopping") return afterStop(state, event);
+      return { state };
+    case "time_to_stop":
+      return state.type === "copied" ? stop(state) : { state };
     case "stream_broke":
       return afterBreak(state);
-    case "copy_answered":
-      return state.type === "copying" || state.type === "stopping"
-        ? afterCopy(state, event)
-        : { state };
+    case "run_ended":
+      return state.type === "stopped" ? { state } : giveUp("the run has ended");
   }
 }
 
-function begin(event: Extract<MoveEvent, { type: "source_leaves" }>): MoveStep {
-  const { target } = event;
+function begin(target: GatewayRunner | undefined): MoveStep {
   if (!target) return giveUp("no runner has room");
   return {
-    state: { type: "copying", target, refusals: 0 },
-    order: { target, isFinal: false },
+    state: { type: "copying", target, refusals: 0, misses: 0 },
+    order: { type: "copy", target, isFinal: false },
   };
 }
 
-function afterCopy(state: Moving, event: CopyAnswered): MoveStep {
-  const { outcome, source } = event;
+function afterCopy(state: Copying, event: CopyAnswered): MoveStep {
+  const { outcome } = event;
+  const { target, misses } = state;
   switch (outcome.type) {
-    case "copied":
-      if (state.type === "copying") {
-        return {
-          state: {
-            type: "stopping",
-            target: state.target,
-            refusals: state.refusals,
-            memory: toMemory(event, outcome.handle),
-          },
-          order: { target: state.target, isFinal: true },
-        };
-      }
-      return stopped(state.target, event, outcome.handle);
-    case "refused":
-      // A stopped source keeps the memory, so the run can go on there.
-      if (outcome.handle !== undefined) {
-        return stopped(source, event, outcome.handle);
-      }
-      return retry(state, event);
+    case "copied": {
+      const memory = toMemory(event, outcome.handle);
+      return {
+        state: { type: "copied", target, memory },
+        order: { type: "wait_to_stop" },
+      };
+    }
     case "no_such_run":
-      return giveUp("the runner has no such run");
+      return misses + 1 >= MAX_MISSES
+        ? giveUp("the runner has no such run")
+        : {
+            state: { ...state, misses: misses + 1 },
+            order: { type: "copy_later", target },
+          };
+    case "refused":
+      return tryNext(state, event.nextTarget);
     case "already_copying":
       return giveUp("the run is being copied already");
     case "unreachable":
-      // A source that was asked to stop may have; its stream will tell.
-      return state.type === "stopping" ? { state } : giveUp(outcome.reason);
+      return giveUp(outcome.reason);
+  }
+}
+
+function tryNext(state: Copying, target: GatewayRunner | undefined): MoveStep {
+  const refusals = state.refusals + 1;
+  if (!target || refusals >= MAX_REFUSALS) return giveUp("no runner has room");
+  return {
+    state: { ...state, target, refusals },
+    order: { type: "copy", target, isFinal: false },
+  };
+}
+
+function stop(state: Extract<MoveState, { type: "copied" }>): MoveStep {
+  const { target } = state;
+  return {
+    state: { ...state, type: "stopping" },
+    order: { type: "copy", target, isFinal: true },
+  };
+}
+
+function afterStop(state: Stopping, event: CopyAnswered): MoveStep {
+  const { outcome, source } = event;
+  switch (outcome.type) {
+    case "copied": {
+      const memory = toMemory(event, outcome.handle);
+      return { state: { type: "stopped", runner: state.target, memory } };
+    }
+    case "refused": {
+      // A source that has stopped keeps the memory, so the run can go on
+      // there; one that has not stopped goes on by itself.
+      if (outcome.handle === undefined) return { state };
+      const memory = toMemory(event, outcome.handle);
+      return { state: { type: "stopped", runner: source, memory } };
+    }
+    // The stream will tell whether the run has stopped.
+    case "no_such_run":
+    case "already_copying":
+    case "unreachable":
+      return { state };
   }
 }
 
 // The source has gone, but what it copied before is at the target.
 function afterBreak(state: MoveState): MoveStep {
   switch (state.type) {
+    case "copied":
     case "stopping": {
       const { target, memory } = state;
       return { state: { type: "stopped", runner: target, memory } };
@@ -89,25 +127,6 @@
   }
 }
 
-function retry(state: Moving, event: CopyAnswered): MoveStep {
-  const refusals = state.refusals + 1;
-  const target = event.nextTarget;
-  if (!target || refusals >= MAX_REFUSALS) return giveUp("no runner has room");
-  return {
-    state: { type: "copying", target, refusals },
-    order: { target, isFinal: false },
-  };
-}
-
-function stopped(
-  runner: GatewayRunner,
-  event: CopyAnswered,
-  handle: string,
-): MoveStep {
-  const memory = toMemory(event, handle);
-  return { state: { type: "stopped", runner, memory } };
-}
-
 function toMemory({ source }: CopyAnswered, handle: string): KeptMemory {
   return { host: source.host, port: source.port, handle };
 }
--- a/packages/gateway/src/decisions/move_event.ts
+++ b/packages/gateway/src/decisions/move_event.ts
@@ -14,7 +14,9 @@
       /** Another runner to try, when the first one has no room. */
       readonly nextTarget?: GatewayRunner | undefined;
     }
+  /** The source is about to be gone; the run must stop there now. */
+  | { readonly type: "time_to_stop" }
   /** The stream ended early, so the run no longer works at its source. */
-  | { readonly type: "stream_broke"; readonly source: GatewayRunner }
+  | { readonly type: "stream_broke" }
   /** The run ended, or its caller left. */
   | { readonly type: "run_ended" };
--- a/packages/gateway/src/decisions/move_state.ts
+++ b/packages/gateway/src/decisions/move_state.ts
@@ -9,12 +9,19 @@
       readonly type: "copying";
       readonly target: GatewayRunner;
       readonly refusals: number;
+      /** Times that the source did not know the run yet. */
+      readonly misses: number;
+    }
+  /** A copy exists; the run goes on until its runner is about to leave. */
+  | {
+      readonly type: "copied";
+      readonly target: GatewayRunner;
+      readonly memory: KeptMemory;
     }
   /** The run is being stopped and the rest copied. */
   | {
       readonly type: "stopping";
       readonly target: GatewayRunner;
-      readonly refusals: number;
       /** The copy that was made while the run went on. */
       readonly memory: KeptMemory;
     }
--- a/packages/gateway/src/decisions/move_step.ts
+++ b/packages/gateway/src/decisions/move_step.ts
@@ -1,14 +1,8 @@
-import type { GatewayRunner } from "../model/gateway_runner.js";
+import type { MoveOrder } from "./move_order.js";
 import type { MoveState } from "./move_state.js";
 
 /** The next state of a move, and the order that it calls for. */
 export interface MoveStep {
   readonly state: MoveState;
-  readonly order?:
-    | {
-        readonly target: GatewayRunner;
-        /** Stop the run, then copy the rest. */
-        readonly isFinal: boolean;
-      }
-    | undefined;
+  readonly order?: MoveOrder | undefined;
 }
--- a/packages/gateway/src/mod.ts
+++ b/packages/gateway/src/mod.ts
@@ -4,6 +4,7 @@
 export type { CopyOutcome } from "./model/copy_outcome.js";
 export type { EngineControl } from "./model/engine_control.js";
 export type { EngineFeatures } from "./model/engine_features.js";
+export type { EngineReport } from "./model/engine_report.js";
 export type { GatewayCodec } from "./model/gateway_codec.js";
 export type { GatewayConfig } from "./model/gateway_config.js";
 export { GatewayInstance } from "./server/gateway_instance.js";
--- a/packages/gateway/src/model/engine_control.ts
+++ b/packages/gateway/src/model/engine_control.ts
@@ -1,4 +1,5 @@
 import type { CopyOutcome } from "./copy_outcome.js";
+import type { EngineReport } from "./engine_report.js";
 import type { GatewayRunner } from "./gateway_runner.js";
 
 /** Orders to model engines. */
@@ -16,6 +17,8 @@
       readonly timeoutMs: number;
     },
   ): Promise<CopyOutcome>;
+  /** Asks an engine about itself; an engine that does not answer says nothing. */
+  readReport(runner: GatewayRunner, timeoutMs: number): Promise<EngineReport>;
   /** Frees a copy at both ends. */
   dropCopy(source: GatewayRunner, handle: string): Promise<void>;
 }
--- /dev/null
+++ b/packages/gateway/src/model/engine_report.ts
@@ -0,0 +1,5 @@
+/** What an engine says of itself, some hundred milliseconds old. */
+export interface EngineReport {
+  /** Time until it is gone, if it leaves and knows when. */
+  readonly leavesInMs?: number | undefined;
+}
--- a/packages/gateway/src/relay/placement_desk.ts
+++ b/packages/gateway/src/relay/placement_desk.ts
@@ -5,6 +5,7 @@
 import type { OutlierScores } from "../decisions/outlier_scores.js";
 import { Placement } from "../decisions/placement.js";
 import type { PlacementChoice } from "../decisions/placement_choice.js";
+import type { RunnerCandidate } from "../decisions/runner_candidate.js";
 import type { RoutedService } from "../model/routed_service.js";
 import type { GenerationWork } from "../model/generation_work.js";
 import type { RunnerDirectory } from "../views/runner_directory.js";
@@ -65,25 +66,29 @@
     return this.#queue.size;
   }
 
-  /** Chooses a place now; seen from `near`, by default from here. */
-  choose(need: PlacementNeed, near = this.#place): PlacementChoice {
-    const runners = this.#directory
+  /** Chooses a place now. */
+  choose(need: PlacementNeed): PlacementChoice {
+    return chooseRunner(this.listCandidates(need), {
+      ...this.#place,
+      nowMs: monotonicMs(),
+      engine: need.service.engine,
+      work: need.work,
+      isUrgent: need.isUrgent,
+    });
+  }
+
+  /** Runners that a request may go to, with their load. */
+  listCandidates(
+    need: Pick<PlacementNeed, "service" | "excludedRunnerIds">,
+  ): readonly RunnerCandidate[] {
+    return this.#directory
       .listUsable(need.service.serviceId)
-      .filter(({ runnerId }) => !need.excludedRunnerIds.has(runnerId));
-    return chooseRunner(
-      runners.map((runner) => ({
+      .filter(({ runnerId }) => !need.excludedRunnerIds.has(runnerId))
+      .map((runner) => ({
         runner,
         load: this.#loads.find(runner.runnerId),
         failureShare: this.#outliers.find(runner.runnerId),
-      })),
-      {
-        ...near,
-        nowMs: monotonicMs(),
-        engine: need.service.engine,
-        work: need.work,
-        isUrgent: need.isUrgent,
-      },
-    );
+      }));
   }
 
   /** Chooses a place, or waits for one for a bounded time. */
--- a/packages/gateway/src/relay/request_relay.ts
+++ b/packages/gateway/src/relay/request_relay.ts
@@ -2,6 +2,8 @@
 import type { Logger } from "@jujubeladder/logger";
 import type { Metrics } from "@jujubeladder/metrics";
 import { monotonicMs } from "@jujubeladder/utils";
+import { chooseMoveTarget } from "../decisions/choose_move_target.js";
+import { estimateNeed } from "../decisions/estimate_need.js";
 import { estimateRetryAfter } from "../decisions/estimate_retry_after.js";
 import type { OutlierScores } from "../decisions/outlier_scores.js";
 import { RateMeter } from "../decisions/rate_meter.js";
@@ -32,6 +34,9 @@
 const SLOW_SHARE = 0.8;
 /** A final answer leaves this much before the route's timeout. */
 const ANSWER_MARGIN_MS = 20;
+/** Runners give about two seconds of notice, of which some has passed. */
+const LEAST_NOTICE_MS = 1_400;
+const REPORT_TIMEOUT_MS = 150;
 /** Ranks at an engine: urgent requests, then the rest; 0 is first. */
 const ENGINE_PRIORITY_STEP = 2;
 
@@ -59,7 +64,7 @@
   constructor(parts: RelayParts) {
     this.#parts = parts;
     parts.directory.events.on("leaving", (runner) => {
-      for (const move of this.#moves.get(runner.runnerId) ?? []) move.start();
+      void this.#moveRunsAway(runner);
     });
   }
 
@@ -339,26 +344,24 @@
     runner: GatewayRunner,
   ): RunMove | undefined {
     const { service, request } = context;
-    if (!service.engine?.canMove) return undefined;
+    const { engine } = service;
+    if (!engine?.canMove) return undefined;
     const { control, desk, logger } = this.#parts;
     const move = new RunMove({
       source: runner,
       requestId: request.requestId,
       control,
       logger,
-      chooseTarget: (refused) => {
-        const choice = desk.choose(
+      chooseTarget: (refused) =>
+        chooseMoveTarget(
+          desk.listCandidates({ service, excludedRunnerIds: refused }),
           {
-            service,
-            teamId: context.team?.teamId ?? "",
-            work: request.work,
-            isUrgent: true,
-            excludedRunnerIds: new Set([...refused, runner.runnerId]),
+            requestId: request.requestId,
+            needTokens: request.work ? estimateNeed(request.work, 0) : 0,
+            source: runner,
+            engine,
           },
-          runner,
-        );
-        return choice.type === "placed" ? choice.runner : undefined;
-      },
+        ),
     });
     const moves = this.#moves.get(runner.runnerId) ?? new Set();
     moves.add(move);
@@ -366,6 +369,16 @@
     return move;
   }
 
+  async #moveRunsAway(source: GatewayRunner): Promise<void> {
+    const moves = [...(this.#moves.get(source.runnerId) ?? [])];
+    if (moves.length === 0) return;
+    const noticedAtMs = monotonicMs();
+    const { control } = this.#parts;
+    const report = control.readReport(source, REPORT_TIMEOUT_MS);
+    const leavesInMs = (await report).leavesInMs ?? LEAST_NOTICE_MS;
+    for (const move of moves) move.start(noticedAtMs + leavesInMs);
+  }
+
   #logAttempt(
     context: RequestContext,
     attempt: {
--- a/packages/gateway/src/relay/run_move.ts
+++ b/packages/gateway/src/relay/run_move.ts
@@ -1,9 +1,9 @@
 import type { Logger } from "@jujubeladder/logger";
-import { monotonicMs, settleWithin } from "@jujubeladder/utils";
+import { monotonicMs, settleWithin, sleep } from "@jujubeladder/utils";
 import { advanceMove } from "../decisions/advance_move.js";
 import type { MoveEvent } from "../decisions/move_event.js";
+import type { MoveOrder } from "../decisions/move_order.js";
 import type { MoveState } from "../decisions/move_state.js";
-import type { MoveStep } from "../decisions/move_step.js";
 import type { EngineControl } from "../model/engine_control.js";
 import type { GatewayRunner } from "../model/gateway_runner.js";
 
@@ -11,6 +11,10 @@
 const COPY_TIMEOUT_MS = 4_000;
 /** How long a broken stream waits for word that its run has stopped. */
 const SETTLE_MS = 1_000;
+/** Time that a run gets to begin before it is asked for again. */
+const COPY_LATER_MS = 120;
+/** Time for the rest of the copies of all runs, through one link. */
+const STOP_MARGIN_MS = 400;
 
 type ChooseTarget = (refused: ReadonlySet<string>) => GatewayRunner | undefined;
 
@@ -22,8 +26,10 @@
   readonly #chooseTarget: ChooseTarget;
   readonly #logger: Logger;
   readonly #refused = new Set<string>();
+  readonly #ended = new AbortController();
   #state: MoveState = { type: "resting" };
-  #pending: Promise<void> | undefined;
+  #goneAtMs = Number.POSITIVE_INFINITY;
+  #work: Promise<void> | undefined;
 
   constructor(parts: {
     readonly source: GatewayRunner;
@@ -39,29 +45,36 @@
     this.#logger = parts.logger;
   }
 
-  /** The source leaves; the run must go elsewhere. */
-  start(): void {
+  /** The source leaves and is gone at `goneAtMs`, on the monotonic clock. */
+  start(goneAtMs: number): void {
     if (this.#state.type !== "resting") return;
+    this.#goneAtMs = goneAtMs;
     const target = this.#chooseTarget(this.#refused);
     const order = this.#advance({ type: "source_leaves", target });
-    this.#pending = this.#carryOut(order);
+    this.#work = this.#carryOut(order);
   }
 
   /** The run's stream ended early; returns where the run can go on. */
   async settleAfterBreak(): Promise<MoveState> {
-    if (this.#pending) await settleWithin(this.#pending, SETTLE_MS);
-    this.#advance({ type: "stream_broke", source: this.#source });
+    const isStopping = this.#state.type === "stopping";
+    if (this.#work && isStopping) await settleWithin(this.#work, SETTLE_MS);
+    this.#advance({ type: "stream_broke" });
+    this.#ended.abort();
     return this.#state;
   }
 
   /** The run has ended, or its caller has left. */
   finish(): void {
-    if (this.#state.type === "resting") return;
+    this.#ended.abort();
+    const { type } = this.#state;
+    if (type === "resting" || type === "stopped") return;
+    const memory = "memory" in this.#state ? this.#state.memory : undefined;
     this.#advance({ type: "run_ended" });
+    if (memory) void this.#control.dropCopy(this.#source, memory.handle);
   }
 
   // Returns the order that the event calls for.
-  #advance(event: MoveEvent): MoveStep["order"] {
+  #advance(event: MoveEvent): MoveOrder | undefined {
     const step = advanceMove(this.#state, event);
     const isNewState = this.#state.type !== step.state.type;
     this.#state = step.state;
@@ -69,39 +82,63 @@
     return step.order;
   }
 
-  async #carryOut(first: MoveStep["order"]): Promise<void> {
+  async #carryOut(first: MoveOrder | undefined): Promise<void> {
     for (let order = first; order;) {
-      const { target, isFinal } = order;
-      const startedAtMs = monotonicMs();
-      const outcome = await this.#control.copyRun(this.#source, {
-        requestId: this.#requestId,
-        target,
-        isFinal,
-        timeoutMs: COPY_TIMEOUT_MS,
-      });
-      this.#logger.info("run_copy", {
-        request: this.#requestId,
-        source: this.#source.runnerId,
-        target: target.runnerId,
-        is_final: isFinal,
-        outcome: outcome.type,
-        took_ms: monotonicMs() - startedAtMs,
-      });
-      const isRefused = outcome.type === "refused";
-      if (isRefused) this.#refused.add(target.runnerId);
-      const nextTarget = isRefused
-        ? this.#chooseTarget(this.#refused)
-        : undefined;
-      const source = this.#source;
-      order = this.#advance({
-        type: "copy_answered",
-        source,
-        outcome,
-        nextTarget,
-      });
+      if (this.#ended.signal.aborted) return;
+      switch (order.type) {
+        case "wait_to_stop":
+          await this.#waitToStop();
+          order = this.#advance({ type: "time_to_stop" });
+          break;
+        case "copy_later":
+          await sleep(COPY_LATER_MS, this.#ended.signal);
+          order = { type: "copy", target: order.target, isFinal: false };
+          break;
+        case "copy":
+          order = await this.#copy(order.target, order.isFinal);
+          break;
+      }
     }
   }
 
+  async #waitToStop(): Promise<void> {
+    const leftMs = this.#goneAtMs - STOP_MARGIN_MS - monotonicMs();
+    if (leftMs > 0) await sleep(leftMs, this.#ended.signal);
+  }
+
+  async #copy(
+    target: GatewayRunner,
+    isFinal: boolean,
+  ): Promise<MoveOrder | undefined> {
+    const source = this.#source;
+    const startedAtMs = monotonicMs();
+    const outcome = await this.#control.copyRun(source, {
+      requestId: this.#requestId,
+      target,
+      isFinal,
+      timeoutMs: COPY_TIMEOUT_MS,
+    });
+    this.#logger.info("run_copy", {
+      request: this.#requestId,
+      source: source.runnerId,
+      target: target.runnerId,
+      is_final: isFinal,
+      outcome: outcome.type,
+      took_ms: monotonicMs() - startedAtMs,
+    });
+    const isRefused = outcome.type === "refused";
+    if (isRefused) this.#refused.add(target.runnerId);
+    const nextTarget = isRefused
+      ? this.#chooseTarget(this.#refused)
+      : undefined;
+    return this.#advance({
+      type: "copy_answered",
+      source,
+      outcome,
+      nextTarget,
+    });
+  }
+
   #log(state: MoveState): void {
     this.#logger.info("run_move", {
       request: this.#requestId,
