--- /dev/null
+++ b/packages/gateway/src/__tests__/advance_move.test.ts
@@ -0,0 +1,121 @@
+import fc from "fast-check";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { advanceMove } from "../decisions/advance_move.js";
+import type { MoveEvent } from "../decisions/move_event.js";
+import type { MoveState } from "../decisions/move_state.js";
+import type { CopyOutcome } from "../model/copy_outcome.js";
+import { createRunner } from "./create_runner.js";
+
+const SOURCE = createRunner("source");
+const TARGET = createRunner("target");
+const OTHER = createRunner("other");
+const RESTING: MoveState = { type: "resting" };
+
+function answered(outcome: CopyOutcome): MoveEvent {
+  return { type: "copy_answered", source: SOURCE, outcome, nextTarget: OTHER };
+}
+
+const outcomes: fc.Arbitrary<CopyOutcome> = fc.constantFrom<CopyOutcome>(
+  { type: "copied", handle: "h", eventCount: 3 },
+  { type: "no_such_run" },
+  { type: "already_copying" },
+  { type: "refused" },
+  { type: "refused", handle: "kept" },
+  { type: "unreachable", reason: "reset" },
+);
+
+const events: fc.Arbitrary<MoveEvent> = fc.oneof(
+  fc.constantFrom<MoveEvent>(
+    { type: "source_leaves", target: TARGET },
+    { type: "source_leaves" },
+    { type: "time_to_stop" },
+    { type: "stream_broke" },
+    { type: "run_ended" },
+  ),
+  outcomes.map(answered),
+);
+
+test("copies, waits, stops and goes on at the target", () => {
+  let step = advanceMove(RESTING, { type: "source_leaves", target: TARGET });
+  assert.equal(step.order, { type: "copy", target: TARGET, isFinal: false });
+  const copied = answered({ type: "copied", handle: "h", eventCount: 3 });
+  step = advanceMove(step.state, copied);
+  assert.equal(step.order, { type: "wait_to_stop" });
+  step = advanceMove(step.state, { type: "time_to_stop" });
+  assert.equal(step.order, { type: "copy", target: TARGET, isFinal: true });
+  step = advanceMove(step.state, copied);
+  assert.equal(step.state, {
+    type: "stopped",
+    runner: TARGET,
+    memory: { host: SOURCE.host, port: SOURCE.port, handle: "h" },
+  });
+});
+
+test("goes on from the first copy when the source dies early", () => {
+  let step = advanceMove(RESTING, { type: "source_leaves", target: TARGET });
+  const copied = answered({ type: "copied", handle: "h", eventCount: 3 });
+  step = advanceMove(step.state, copied);
+  step = advanceMove(step.state, { type: "stream_broke" });
+  assert.is(step.state.type, "stopped");
+});
+
+test("goes on at a stopped source whose target had no room", () => {
+  const stopping: MoveState = {
+    type: "stopping",
+    target: TARGET,
+    memory: { host: SOURCE.host, port: SOURCE.port, handle: "h" },
+  };
+  const step = advanceMove(
+    stopping,
+    answered({ type: "refused", handle: "kept" }),
+  );
+  assert.ok(step.state.type === "stopped");
+  if (step.state.type !== "stopped") return;
+  assert.is(step.state.runner.runnerId, "source");
+  assert.is(step.state.memory.handle, "kept");
+});
+
+test("over all orders of events, a run never works at two runners", () => {
+  fc.assert(
+    fc.property(fc.array(events, { maxLength: 40 }), (sequence) => {
+      let state = RESTING as MoveState;
+      let mayHaveStopped = false;
+      let hasCopy = false;
+      let finalOrders = 0;
+      let copyOrders = 0;
+      for (const event of sequence) {
+        const before = state;
+        const { state: next, order } = advanceMove(before, event);
+        if (event.type === "stream_broke") mayHaveStopped = true;
+        if (event.type === "copy_answered") {
+          const { outcome } = event;
+          const hasHandle = "handle" in outcome && outcome.handle !== undefined;
+          if (before.type === "copying" && outcome.type === "copied") {
+            hasCopy = true;
+          }
+          // Only an answer to the order to stop says that the run stopped.
+          if (before.type === "stopping" && hasHandle) mayHaveStopped = true;
+        }
+        if (next.type === "stopped") assert.ok(mayHaveStopped && hasCopy);
+        if (order?.type === "copy" && order.isFinal) {
+          finalOrders += 1;
+          assert.ok(hasCopy, "a run is stopped only once a copy exists");
+        }
+        if (order?.type === "copy" || order?.type === "copy_later") {
+          copyOrders += 1;
+        }
+        const isOver = before.type === "stopped" || before.type === "given_up";
+        if (isOver) assert.is(order, undefined);
+        state = next;
+      }
+      assert.ok(finalOrders <= 1);
+      assert.ok(
+        copyOrders < 20,
+        "a move ends after a bounded number of orders",
+      );
+    }),
+  );
+});
+
+test.run();
--- /dev/null
+++ b/packages/gateway/src/__tests__/create_runner.ts
@@ -0,0 +1,21 @@
+import type { GatewayRunner } from "../model/gateway_runner.js";
+
+/** A runner for tests. */
+export function createRunner(
+  runnerId: string,
+  changes: Partial<GatewayRunner> = {},
+): GatewayRunner {
+  return {
+    runnerId,
+    serviceId: "writer",
+    host: "127.0.0.1",
+    port: 1,
+    region: "r1",
+    availabilityZone: "r1-a",
+    state: "live",
+    slots: 4,
+    startedAtMs: 1,
+    warmAtMs: 0,
+    ...changes,
+  };
+}
--- a/packages/gateway/src/relay/request_relay.ts
+++ b/packages/gateway/src/relay/request_relay.ts
@@ -277,9 +277,11 @@
         progress.lastReason = "the runner was slow";
         return undefined;
       case "timed_out":
-        progress.mayHaveRun = true;
-        progress.lastReason = "the time is up";
-        return this.#giveUp(context, progress);
+        if (context.answer.hasBegun) {
+          context.answer.abort();
+          return { type: "cut", reason: "the time is up" };
+        }
+        return refuse({ type: "timed_out", reason: "the time is up" });
       case "caller_left":
         return { type: "caller_left" };
     }
--- a/packages/gateway/src/server/gateway_instance.ts
+++ b/packages/gateway/src/server/gateway_instance.ts
@@ -33,7 +33,7 @@
 import { serveSimple } from "./serve_simple.js";
 
 /** Instances swap loads this often; engines report with a similar lag. */
-const GOSSIP_INTERVAL_MS = 300;
+const GOSSIP_INTERVAL_MS = 500;
 /** Fleet size that is assumed before peers have been heard of. */
 const LEAST_FLEET = 10;
 /** Different runners lost to one request until it is barred. */
@@ -215,6 +215,11 @@
       if (!isAccepting && !isBusy) break;
       await sleep(STOP_POLL_MS);
     }
+    this.close();
+  }
+
+  /** Closes at once, whatever is under way. */
+  close(): void {
     this.#logger.info("stopped", { cut: this.#callers.activeCount });
     this.#stopping.abort();
     this.#callers.close();
--- a/packages/gateway/src/transport/runner_connection.ts
+++ b/packages/gateway/src/transport/runner_connection.ts
@@ -22,9 +22,15 @@
   readonly #client: Client;
   readonly #socket: Socket;
   #idleSinceMs = monotonicMs();
+  #hasFailed = false;
 
   private constructor(socket: Socket, endpoint: Endpoint) {
     this.#socket = socket;
+    // Registered before the client's listener: the client takes a reset for
+    // the end of an answer without a length, which it is not.
+    socket.on("error", () => {
+      this.#hasFailed = true;
+    });
     let isTaken = false;
     this.#client = new Client(`http://${endpoint.host}:${endpoint.port}`, {
       // The client may not connect anew by itself, since a request must be
@@ -77,8 +83,6 @@
       socket.once("error", onError);
       options.signal?.addEventListener("abort", onAbort, { once: true });
       socket.once("connect", () => {
-        // Errors after this are the client's to report.
-        socket.on("error", () => undefined);
         finish({ ok: true, value: new RunnerConnection(socket, endpoint) });
       });
     });
@@ -132,7 +136,8 @@
         },
         onResponseEnd: () => {
           end(() => {
-            sink.onEnd();
+            if (this.#hasFailed) sink.onBroken("the connection was reset");
+            else sink.onEnd();
           });
         },
         onResponseError: (_controller, error) => {
