Pass an answer without a length on without one

Ruled out: a reset that was overlooked (no error before the end). Change: such an answer is framed alike towards the caller; a run that ends so while it is being moved counts as broken; cuts of such answers are resets.

--- a/packages/gateway/src/model/runner_answer.ts
+++ b/packages/gateway/src/model/runner_answer.ts
@@ -12,6 +12,11 @@
   readonly isEventStream: boolean;
   /** The runner closes the connection; often a sign that it leaves. */
   readonly isClosing: boolean;
+  /**
+   * Only the end of the connection ends the body, so that a whole one can't be
+   * told from one that broke off.
+   */
+  readonly endsWithConnection: boolean;
   /** How long the runner keeps an idle connection, if it says so. */
   readonly keepAliveMs?: number | undefined;
   /** Names and values that are passed to the caller, alternating. */
--- a/packages/gateway/src/relay/attempt_outcome.ts
+++ b/packages/gateway/src/relay/attempt_outcome.ts
@@ -13,7 +13,7 @@
       readonly body: Buffer;
     }
   /** A stream that was passed on to its end. */
-  | { readonly type: "streamed" }
+  | { readonly type: "streamed"; readonly head: RunnerAnswer }
   /** The runner may have run the request; no whole answer came. */
   | { readonly type: "broken"; readonly reason: string }
   /** The attempt's own time ran out, not yet the request's. */
--- a/packages/gateway/src/relay/caller_answer.ts
+++ b/packages/gateway/src/relay/caller_answer.ts
@@ -4,7 +4,12 @@
   readonly gone: AbortSignal;
   /** The head has been sent; nothing but the rest of the body may follow. */
   readonly hasBegun: boolean;
-  begin(statusCode: number, headers: readonly string[]): void;
+  /** With `endsWithConnection` the body has no other end; see `RunnerAnswer`. */
+  begin(
+    statusCode: number,
+    headers: readonly string[],
+    options?: { readonly endsWithConnection: boolean },
+  ): void;
   /** Returns false when the caller reads more slowly; see `onDrain`. */
   write(chunk: Uint8Array): boolean;
   onDrain(resume: () => void): void;
--- a/packages/gateway/src/relay/request_relay.ts
+++ b/packages/gateway/src/relay/request_relay.ts
@@ -88,7 +88,34 @@
       lastFailure: undefined,
       continueAt: undefined,
     };
-    return await this.#runAttempts(context, session, progress);
+    const outcome = await this.#runAttempts(context, session, progress);
+    if (session) this.#noteStream(context, session, progress);
+    return outcome;
+  }
+
+  #noteStream(
+    context: RequestContext,
+    session: StreamSession,
+    progress: RelayProgress,
+  ): void {
+    const { metrics, logger } = this.#parts;
+    const { firstEventAtMs, longestGapMs } = session;
+    const firstEventMs =
+      firstEventAtMs === undefined
+        ? undefined
+        : firstEventAtMs - context.receivedAtMs;
+    if (firstEventMs !== undefined) {
+      metrics.record("first_token_ms", firstEventMs);
+      metrics.record("token_gap_ms", longestGapMs);
+    }
+    logger.info("stream", {
+      request: context.request.requestId,
+      route: context.route.routeId,
+      events: session.eventCount,
+      offers: progress.offers,
+      first_event_ms: firstEventMs,
+      longest_gap_ms: longestGapMs,
+    });
   }
 
   async #runAttempts(
@@ -183,7 +210,7 @@
       }
       progress.offers += 1;
       this.#places.note();
-      const { outcome, head } = await runAttempt(connection, {
+      const { outcome: seen, head } = await runAttempt(connection, {
         codec,
         requestId: request.requestId,
         method: request.method,
@@ -204,6 +231,7 @@
         firstByteMs: this.#firstByteMs(context, progress),
         receiver: session,
       });
+      const outcome = distrustEnd(seen, move);
       if (head?.isClosing && head.execution !== "wrong_runner") {
         connection.close();
       } else if (outcome.type === "answered" || outcome.type === "streamed") {
@@ -247,8 +275,11 @@
         return undefined;
       case "streamed":
         this.#noteSuccess(context, runner);
-        session?.end();
-        return { type: "delivered", statusCode: 200 };
+        if (session?.end(outcome.head)) {
+          return { type: "delivered", statusCode: 200 };
+        }
+        context.answer.abort();
+        return { type: "cut", reason: "the last run may not be whole" };
       case "answered": {
         const isFailure = outcome.head.statusCode >= 500;
         if (isFailure) this.#parts.outliers.note(runner.runnerId, true);
@@ -296,8 +327,11 @@
       return { type: "cut", reason: `status ${head.statusCode} in mid-stream` };
     }
     const hasBody = request.method !== "HEAD" && head.statusCode !== 204;
-    const length = hasBody ? ["content-length", String(body.length)] : [];
-    answer.begin(head.statusCode, [...head.forwardedHeaders, ...length]);
+    const length =
+      hasBody && !head.endsWithConnection
+        ? ["content-length", String(body.length)]
+        : [];
+    answer.begin(head.statusCode, [...head.forwardedHeaders, ...length], head);
     answer.end(body);
     return { type: "delivered", statusCode: head.statusCode };
   }
@@ -396,7 +430,7 @@
       runner: runner.runnerId,
       zone: runner.availabilityZone,
       offer: progress.offers,
-      outcome: outcome.type,
+      outcome: progress.continueAt ? "moved" : outcome.type,
       reason: "reason" in outcome ? outcome.reason : undefined,
       goes_on_at: progress.continueAt?.runner.runnerId,
       config_version: context.configVersion,
@@ -409,6 +443,20 @@
   return deadlineAtMs - ANSWER_MARGIN_MS - monotonicMs();
 }
 
+// A stopped run closes its stream, which ends a stream without a frame.
+function distrustEnd(
+  outcome: AttemptOutcome,
+  move: RunMove | undefined,
+): AttemptOutcome {
+  const isUnsure =
+    outcome.type === "streamed" &&
+    outcome.head.endsWithConnection &&
+    move?.mayHaveStopped === true;
+  return isUnsure
+    ? { type: "broken", reason: "the connection ended while the run moved" }
+    : outcome;
+}
+
 function refuse(refusal: Refusal): FinalOutcome {
   return { type: "refused", refusal };
 }
--- a/packages/gateway/src/relay/run_attempt.ts
+++ b/packages/gateway/src/relay/run_attempt.ts
@@ -159,5 +159,5 @@
   }
   return received.splitter.hasPartial
     ? { type: "broken", reason: "the stream ended within an event" }
-    : { type: "streamed" };
+    : { type: "streamed", head };
 }
--- a/packages/gateway/src/relay/run_move.ts
+++ b/packages/gateway/src/relay/run_move.ts
@@ -45,6 +45,12 @@
     this.#logger = parts.logger;
   }
 
+  /** True while a copy exists or the run is being stopped. */
+  get mayHaveStopped(): boolean {
+    const { type } = this.#state;
+    return type === "copied" || type === "stopping" || type === "stopped";
+  }
+
   /** The source leaves and is gone at `goneAtMs`, on the monotonic clock. */
   start(goneAtMs: number): void {
     if (this.#state.type !== "resting") return;
--- a/packages/gateway/src/relay/stream_session.ts
+++ b/packages/gateway/src/relay/stream_session.ts
@@ -15,6 +15,8 @@
   #lastEventId: number | undefined;
   #eventCount = 0;
   #firstEventAtMs: number | undefined;
+  #lastEventAtMs: number | undefined;
+  #longestGapMs = 0;
   #head: RunnerAnswer | undefined;
   #placement: Placement | undefined;
 
@@ -43,6 +45,11 @@
     return this.#firstEventAtMs;
   }
 
+  /** Longest time between two events. */
+  get longestGapMs(): number {
+    return this.#longestGapMs;
+  }
+
   /** Follows the output with the place that it now runs at. */
   follow(placement: Placement): void {
     this.#placement = placement;
@@ -62,14 +69,15 @@
     }
     if (eventId !== undefined) this.#lastEventId = eventId;
     this.#eventCount += 1;
-    this.#firstEventAtMs ??= monotonicMs();
+    const nowMs = monotonicMs();
+    const gapMs = nowMs - (this.#lastEventAtMs ?? nowMs);
+    this.#longestGapMs = Math.max(this.#longestGapMs, gapMs);
+    this.#firstEventAtMs ??= nowMs;
+    this.#lastEventAtMs = nowMs;
     this.#noteProduced();
     // The head goes out with the first event, so that a run that breaks
     // before it can still be answered in another way.
-    if (!this.#answer.hasBegun && this.#head) {
-      const { statusCode, forwardedHeaders } = this.#head;
-      this.#answer.begin(statusCode, forwardedHeaders);
-    }
+    this.#beginOnce();
     return this.#answer.write(event.bytes) ? "continue" : "pause";
   }
 
@@ -77,13 +85,22 @@
     this.#answer.onDrain(resume);
   }
 
-  /** Ends the answer; a stream may have had no events. */
-  end(): void {
-    if (!this.#answer.hasBegun && this.#head) {
-      const { statusCode, forwardedHeaders } = this.#head;
-      this.#answer.begin(statusCode, forwardedHeaders);
-    }
+  /**
+   * Ends the answer; a stream may have had no events. False when the last run
+   * cannot be told from a broken one, which the caller would take for whole.
+   */
+  end(lastHead: RunnerAnswer | undefined): boolean {
+    const isUnsure = lastHead?.endsWithConnection ?? false;
+    if (isUnsure && !this.#head?.endsWithConnection) return false;
+    this.#beginOnce();
     this.#answer.end();
+    return true;
+  }
+
+  #beginOnce(): void {
+    if (this.#answer.hasBegun || !this.#head) return;
+    const { statusCode, forwardedHeaders } = this.#head;
+    this.#answer.begin(statusCode, forwardedHeaders, this.#head);
   }
 
   #noteProduced(): void {
--- a/packages/gateway/src/server/http_caller_answer.ts
+++ b/packages/gateway/src/server/http_caller_answer.ts
@@ -6,6 +6,7 @@
   readonly #response: ServerResponse;
   readonly #gone = new AbortController();
   readonly #isClosing: () => boolean;
+  #endsWithConnection = false;
 
   /** With `isClosing` the connection ends with this answer. */
   constructor(response: ServerResponse, isClosing: () => boolean) {
@@ -27,8 +28,16 @@
     return this.#response.headersSent;
   }
 
-  begin(statusCode: number, headers: readonly string[]): void {
-    const close = this.#isClosing() ? ["connection", "close"] : [];
+  begin(
+    statusCode: number,
+    headers: readonly string[],
+    options = { endsWithConnection: false },
+  ): void {
+    const { endsWithConnection } = options;
+    this.#endsWithConnection = endsWithConnection;
+    if (endsWithConnection) this.#response.useChunkedEncodingByDefault = false;
+    const isLast = endsWithConnection || this.#isClosing();
+    const close = isLast ? ["connection", "close"] : [];
     this.#response.writeHead(statusCode, [...headers, ...close]);
     this.#response.flushHeaders();
   }
@@ -47,6 +56,8 @@
   }
 
   abort(): void {
+    // A plain close would look like the end of a body without a length.
+    if (this.#endsWithConnection) this.#response.socket?.resetAndDestroy();
     this.#response.destroy();
   }
 }
