Move runs by the source's link and the targets' room; repeat streams late

Cause: (1) the time of leaving was guessed, as the report of an engine is 500 ms old and did not know yet, so runs were stopped a second early and their final copies queued behind first ones (pauses of 300 to 950 ms); (2) the time left in a report is as old as the report (2,066 ms said, 1,510 ms true); (3) all runs of a runner went to one target; (4) a refused final copy stalls the run until its source is gone; (5) verdicts were repeated at 0.8 of their target, when a repeat could no longer be on time. Ruled out, tried and reverted: targets in all zones at once (37 of 69 first copies refused: a copy between zones takes the source's link twice as long), a lone near target for all (14 finals refused, pauses of 2 s). Change: the report is read 550 ms after the notice and dated back; runs go to the source's zone as far as it has room and elsewhere by their id; a refused stop cuts the source and goes on from the first copy; streams are repeated at 1.5 of the target.

--- a/packages/gateway/src/__tests__/advance_move.test.ts
+++ b/packages/gateway/src/__tests__/advance_move.test.ts
@@ -76,6 +76,15 @@
   assert.is(step.state.memory.handle, "kept");
 });
 
+test("a refused stop breaks the stream and goes on from the first copy", () => {
+  const memory = { host: SOURCE.host, port: SOURCE.port, handle: "h" };
+  const stopping: MoveState = { type: "stopping", target: TARGET, memory };
+  const refused = advanceMove(stopping, answered({ type: "refused" }));
+  assert.equal(refused.order, { type: "cut_source" });
+  const broken = advanceMove(refused.state, { type: "stream_broke" });
+  assert.equal(broken.state, { type: "stopped", runner: TARGET, memory });
+});
+
 test("over all orders of events, a run never works at two runners", () => {
   fc.assert(
     fc.property(fc.array(events, { maxLength: 40 }), (sequence) => {
--- a/packages/gateway/src/__tests__/choose_runner.test.ts
+++ b/packages/gateway/src/__tests__/choose_runner.test.ts
@@ -130,6 +130,7 @@
       requestId: `request-${index}`,
       needTokens: 4_000,
       source,
+      sourceTokens: 30_000,
       engine: ENGINE,
     }),
   );
@@ -142,4 +143,23 @@
   assert.ok(Math.max(...counts.values()) <= 35, "no runner takes most");
 });
 
+test("runs stay in their zone as far as there is room", () => {
+  const source = createRunner("source");
+  const far = candidate("far", { peakTokens: 1_000 }, "r2-a");
+  const countNear = (peakTokens: number) =>
+    Array.from({ length: 200 }, (_, index) =>
+      chooseMoveTarget([candidate("near", { peakTokens }), far], {
+        requestId: `request-${index}`,
+        needTokens: 4_000,
+        source,
+        sourceTokens: 30_000,
+        engine: ENGINE,
+      }),
+    ).filter((target) => target?.runnerId === "near").length;
+  // 25,500 tokens may be used: room for half of what the source holds.
+  const half = countNear(10_500);
+  assert.ok(half > 70 && half < 130, `${half} of 200`);
+  assert.is(countNear(24_000), 0);
+});
+
 test.run();
--- a/packages/gateway/src/decisions/advance_move.ts
+++ b/packages/gateway/src/decisions/advance_move.ts
@@ -97,8 +97,11 @@
     }
     case "refused": {
       // A source that has stopped keeps the memory, so the run can go on
-      // there; one that has not stopped goes on by itself.
-      if (outcome.handle === undefined) return { state };
+      // there. Without its word the run may be stalled; breaking its stream
+      // lets it go on from the first copy.
+      if (outcome.handle === undefined) {
+        return { state, order: { type: "cut_source" } };
+      }
       const memory = toMemory(event, outcome.handle);
       return { state: { type: "stopped", runner: source, memory } };
     }
--- a/packages/gateway/src/decisions/choose_move_target.ts
+++ b/packages/gateway/src/decisions/choose_move_target.ts
@@ -1,4 +1,4 @@
-import { rankByRendezvous } from "@jujubeladder/utils";
+import { hashText, rankByRendezvous } from "@jujubeladder/utils";
 import type { EngineFeatures } from "../model/engine_features.js";
 import type { GatewayRunner } from "../model/gateway_runner.js";
 import type { RunnerCandidate } from "./runner_candidate.js";
@@ -8,10 +8,10 @@
 
 /**
  * Chooses where a run moves to. Answers the load of many runs that leave one
- * runner at once, seen by instances with the same views: each run picks by
- * its own id among the runners with room, so that they spread. Runners of
- * the source's own zone come first, since copies between zones take twice as
- * long.
+ * runner at once, seen by instances with the same views and no time to agree:
+ * each run picks by its own id, so that they spread. Runners of the source's
+ * own zone take as many as they have room for, since a copy between zones
+ * takes twice the time of the source's link; the rest goes elsewhere.
  */
 export function chooseMoveTarget(
   candidates: readonly RunnerCandidate[],
@@ -19,6 +19,8 @@
     readonly requestId: string;
     readonly needTokens: number;
     readonly source: GatewayRunner;
+    /** Memory that all runs at the source will need. */
+    readonly sourceTokens: number;
     readonly engine: EngineFeatures;
   },
 ): GatewayRunner | undefined {
@@ -30,15 +32,20 @@
     )
     .map(({ runner, load }) => ({
       runner,
-      share: (load.peakTokens + needTokens) / engine.memoryTokens,
+      roomTokens: engine.memoryTokens * ROOMY_SHARE - load.peakTokens,
     }));
-  const roomy = usable.filter(({ share }) => share <= ROOMY_SHARE);
-  const near = roomy.filter(
-    ({ runner }) => runner.availabilityZone === source.availabilityZone,
-  );
-  const pool = near.length > 0 ? near : roomy;
+  const roomy = usable.filter(({ roomTokens }) => roomTokens >= needTokens);
+  const isNear = ({ runner }: { readonly runner: GatewayRunner }) =>
+    runner.availabilityZone === source.availabilityZone;
+  const near = roomy.filter(isNear);
+  const nearTokens = near.reduce((sum, { roomTokens }) => sum + roomTokens, 0);
+  const nearShare = nearTokens / Math.max(1, move.sourceTokens);
+  const point = (hashText(requestId) >>> 0) / 2 ** 32;
+  const far = roomy.filter((candidate) => !isNear(candidate));
+  const isForNear = near.length > 0 && (point < nearShare || far.length === 0);
+  const pool = isForNear ? near : far;
   if (pool.length === 0) {
-    return usable.sort((a, b) => a.share - b.share)[0]?.runner;
+    return usable.sort((a, b) => b.roomTokens - a.roomTokens)[0]?.runner;
   }
   const ids = pool.map(({ runner }) => runner.runnerId);
   const [first] = rankByRendezvous(requestId, ids);
--- a/packages/gateway/src/decisions/move_order.ts
+++ b/packages/gateway/src/decisions/move_order.ts
@@ -10,5 +10,7 @@
     }
   /** Copy, after the run has had time to begin. */
   | { readonly type: "copy_later"; readonly target: GatewayRunner }
+  /** Break the stream from the source, on which the run there stops. */
+  | { readonly type: "cut_source" }
   /** Raise `time_to_stop` when the source is about to be gone. */
   | { readonly type: "wait_to_stop" };
--- a/packages/gateway/src/relay/placement_desk.ts
+++ b/packages/gateway/src/relay/placement_desk.ts
@@ -8,6 +8,7 @@
 import type { RunnerCandidate } from "../decisions/runner_candidate.js";
 import type { RoutedService } from "../model/routed_service.js";
 import type { GenerationWork } from "../model/generation_work.js";
+import type { RunnerLoad } from "../model/runner_load.js";
 import type { RunnerDirectory } from "../views/runner_directory.js";
 
 /** How often waiting requests are offered places without an event. */
@@ -77,6 +78,11 @@
     });
   }
 
+  /** Load of one runner, as far as it is known here. */
+  findLoad(runnerId: string): RunnerLoad {
+    return this.#loads.find(runnerId);
+  }
+
   /** Runners that a request may go to, with their load. */
   listCandidates(
     need: Pick<PlacementNeed, "service" | "excludedRunnerIds">,
--- a/packages/gateway/src/relay/request_relay.ts
+++ b/packages/gateway/src/relay/request_relay.ts
@@ -1,7 +1,7 @@
 import type { Quarantine } from "@jujubeladder/coordination";
 import type { Logger } from "@jujubeladder/logger";
 import type { Metrics } from "@jujubeladder/metrics";
-import { monotonicMs } from "@jujubeladder/utils";
+import { monotonicMs, sleep } from "@jujubeladder/utils";
 import { chooseMoveTarget } from "../decisions/choose_move_target.js";
 import { estimateNeed } from "../decisions/estimate_need.js";
 import { estimateRetryAfter } from "../decisions/estimate_retry_after.js";
@@ -32,11 +32,18 @@
 const WAIT_SHARE = 0.9;
 /** Share of the target after which a silent attempt is repeated elsewhere. */
 const SLOW_SHARE = 0.8;
+/**
+ * The same for streams: prompts are read for longer than a repeat would leave
+ * time for, so that only a runner that hangs is given up.
+ */
+const SLOW_STREAM_SHARE = 1.5;
 /** A final answer leaves this much before the route's timeout. */
 const ANSWER_MARGIN_MS = 20;
 /** Runners give about two seconds of notice, of which some has passed. */
 const LEAST_NOTICE_MS = 1_400;
-const REPORT_TIMEOUT_MS = 150;
+/** Engines report what was so this long ago. */
+const REPORT_LAG_MS = 550;
+const REPORT_TIMEOUT_MS = 250;
 /** Ranks at an engine: urgent requests, then the rest; 0 is first. */
 const ENGINE_PRIORITY_STEP = 2;
 
@@ -210,6 +217,9 @@
       }
       progress.offers += 1;
       this.#places.note();
+      move?.onCut(() => {
+        connection.close();
+      });
       const { outcome: seen, head } = await runAttempt(connection, {
         codec,
         requestId: request.requestId,
@@ -371,7 +381,9 @@
     const isLast = progress.runs + 1 >= route.maxAttempts;
     if (!mayRepeat(route.repeat) || isLast) return undefined;
     const sinceMs = monotonicMs() - receivedAtMs;
-    const leftMs = route.targetLatencyMs * SLOW_SHARE - sinceMs;
+    const share =
+      route.repeat.type === "stream" ? SLOW_STREAM_SHARE : SLOW_SHARE;
+    const leftMs = route.targetLatencyMs * share - sinceMs;
     return leftMs > 0 ? leftMs : undefined;
   }
 
@@ -395,6 +407,7 @@
             requestId: request.requestId,
             needTokens: request.work ? estimateNeed(request.work, 0) : 0,
             source: runner,
+            sourceTokens: desk.findLoad(runner.runnerId).peakTokens,
             engine,
           },
         ),
@@ -409,10 +422,25 @@
     const moves = [...(this.#moves.get(source.runnerId) ?? [])];
     if (moves.length === 0) return;
     const noticedAtMs = monotonicMs();
-    const { control } = this.#parts;
-    const report = control.readReport(source, REPORT_TIMEOUT_MS);
-    const leavesInMs = (await report).leavesInMs ?? LEAST_NOTICE_MS;
-    for (const move of moves) move.start(noticedAtMs + leavesInMs);
+    for (const move of moves) move.start(noticedAtMs + LEAST_NOTICE_MS);
+    // Reports lag, so an earlier one would not know that the runner leaves.
+    await sleep(REPORT_LAG_MS);
+    const readAtMs = monotonicMs();
+    const report = await this.#parts.control.readReport(
+      source,
+      REPORT_TIMEOUT_MS,
+    );
+    const { leavesInMs } = report;
+    this.#parts.logger.info("runner_leaves_in", {
+      runner: source.runnerId,
+      leaves_in_ms: leavesInMs,
+      since_notice_ms: readAtMs - noticedAtMs,
+      runs: moves.length,
+    });
+    if (leavesInMs === undefined) return;
+    // The report's time left is as old as the rest of it.
+    const goneAtMs = readAtMs - REPORT_LAG_MS + leavesInMs;
+    for (const move of moves) move.setGoneAt(goneAtMs);
   }
 
   #logAttempt(
--- a/packages/gateway/src/relay/run_move.ts
+++ b/packages/gateway/src/relay/run_move.ts
@@ -16,6 +16,8 @@
 /** Time for the rest of the copies of all runs, through one link. */
 const STOP_MARGIN_MS = 400;
 
+const WAIT_STEP_MS = 50;
+
 type ChooseTarget = (refused: ReadonlySet<string>) => GatewayRunner | undefined;
 
 /** Carries out the move of one run away from one runner. */
@@ -30,6 +32,7 @@
   #state: MoveState = { type: "resting" };
   #goneAtMs = Number.POSITIVE_INFINITY;
   #work: Promise<void> | undefined;
+  #cut: () => void = () => undefined;
 
   constructor(parts: {
     readonly source: GatewayRunner;
@@ -60,6 +63,16 @@
     this.#work = this.#carryOut(order);
   }
 
+  /** Corrects when the source will be gone. */
+  setGoneAt(goneAtMs: number): void {
+    this.#goneAtMs = goneAtMs;
+  }
+
+  /** Says how to break the stream from the source. */
+  onCut(cut: () => void): void {
+    this.#cut = cut;
+  }
+
   /** The run's stream ended early; returns where the run can go on. */
   async settleAfterBreak(): Promise<MoveState> {
     const isStopping = this.#state.type === "stopping";
@@ -100,6 +113,9 @@
           await sleep(COPY_LATER_MS, this.#ended.signal);
           order = { type: "copy", target: order.target, isFinal: false };
           break;
+        case "cut_source":
+          this.#cut();
+          return;
         case "copy":
           order = await this.#copy(order.target, order.isFinal);
           break;
@@ -108,8 +124,13 @@
   }
 
   async #waitToStop(): Promise<void> {
-    const leftMs = this.#goneAtMs - STOP_MARGIN_MS - monotonicMs();
-    if (leftMs > 0) await sleep(leftMs, this.#ended.signal);
+    const { signal } = this.#ended;
+    for (;;) {
+      const leftMs = this.#goneAtMs - STOP_MARGIN_MS - monotonicMs();
+      if (leftMs <= 0 || signal.aborted) return;
+      // The time may be corrected meanwhile.
+      await sleep(Math.min(leftMs, WAIT_STEP_MS), signal);
+    }
   }
 
   async #copy(
