Log placements with their inputs; keep the platform's names in by lint

Cause: an attempt's line did not say why the runner was chosen, and nothing kept platform names out of packages/. Change: a placement line with score, candidates, load and wait; a refusal's retry_after_ms; a lint rule on literals and imports (a scratch file with two such literals gave two errors). Measured: no behaviour changes; lint and build pass.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -2,7 +2,13 @@
 
 export default tseslint.config(
   {
-    ignores: ["target/**", "**/lib/**", "**/node_modules/**", "**/generated/**", "*.js"],
+    ignores: [
+      "target/**",
+      "**/lib/**",
+      "**/node_modules/**",
+      "**/generated/**",
+      "*.js",
+    ],
   },
   ...tseslint.configs.strict,
   {
@@ -17,4 +23,26 @@
       "no-console": "error",
     },
   },
+  {
+    // Names of the users' platform stay in platform/.
+    files: ["packages/**"],
+    rules: {
+      "no-restricted-syntax": [
+        "error",
+        {
+          selector:
+            "Literal[value=/x-jujubeladder-|^kv-|^op\\u002F|^servers\\u002F|_ms=|^bounds\\./i]",
+          message: "Names of the platform belong into platform/",
+        },
+        {
+          selector: "TemplateElement[value.raw=/x-jujubeladder-|\\u002Fkv-/i]",
+          message: "Names of the platform belong into platform/",
+        },
+      ],
+      "no-restricted-imports": [
+        "error",
+        { patterns: ["**/platform/*", "@jujubeladder/platform-adapter"] },
+      ],
+    },
+  },
 );
--- a/packages/gateway/src/relay/request_relay.ts
+++ b/packages/gateway/src/relay/request_relay.ts
@@ -178,7 +178,21 @@
         signal: answer.gone,
       },
     );
-    if (choice.type === "placed") return choice.runner;
+    if (choice.type === "placed") {
+      const load = desk.findLoad(choice.runner.runnerId);
+      this.#parts.logger.info("placement", {
+        request: request.requestId,
+        runner: choice.runner.runnerId,
+        score: choice.score,
+        candidates: choice.candidateCount,
+        runner_requests: load.requests,
+        runner_peak_tokens: load.peakTokens,
+        runner_unread_tokens: load.unreadTokens,
+        waited_ms: monotonicMs() - context.receivedAtMs - sinceMs,
+        waiting: desk.waitingCount,
+      });
+      return choice.runner;
+    }
     progress.lastReason ||=
       choice.type === "held" ? "no runner has room" : "no runner is left";
     return undefined;
--- a/packages/gateway/src/server/caller_server.ts
+++ b/packages/gateway/src/server/caller_server.ts
@@ -261,6 +261,8 @@
           : refusal && "reason" in refusal
             ? refusal.reason
             : undefined,
+      retry_after_ms:
+        refusal?.type === "not_run" ? refusal.retryAfterMs : undefined,
       config_version: config.version,
       config_age_ms: config.confirmedAgeMs,
       took_ms: monotonicMs() - received.receivedAtMs,
