--- /dev/null
+++ b/packages/gateway/src/relay/note_stream.ts
@@ -0,0 +1,34 @@
+import type { Logger } from "@jujubeladder/logger";
+import type { Metrics } from "@jujubeladder/metrics";
+import type { RelayProgress } from "./relay_progress.js";
+import type { RequestContext } from "./request_context.js";
+import type { StreamSession } from "./stream_session.js";
+
+/** Writes the line of a stream that has ended and records its times. */
+export function noteStream(
+  parts: { readonly metrics: Metrics; readonly logger: Logger },
+  context: RequestContext,
+  stream: {
+    readonly session: StreamSession;
+    readonly progress: RelayProgress;
+  },
+): void {
+  const { session, progress } = stream;
+  const { firstEventAtMs, longestGapMs } = session;
+  const firstEventMs =
+    firstEventAtMs === undefined
+      ? undefined
+      : firstEventAtMs - context.receivedAtMs;
+  if (firstEventMs !== undefined) {
+    parts.metrics.record("first_token_ms", firstEventMs);
+    parts.metrics.record("token_gap_ms", longestGapMs);
+  }
+  parts.logger.info("stream", {
+    request: context.request.requestId,
+    route: context.route.routeId,
+    events: session.eventCount,
+    offers: progress.offers,
+    first_event_ms: firstEventMs,
+    longest_gap_ms: longestGapMs,
+  });
+}
--- a/packages/gateway/src/relay/request_relay.ts
+++ b/packages/gateway/src/relay/request_relay.ts
@@ -1,9 +1,7 @@
 import type { Quarantine } from "@jujubeladder/coordination";
 import type { Logger } from "@jujubeladder/logger";
 import type { Metrics } from "@jujubeladder/metrics";
-import { monotonicMs, sleep } from "@jujubeladder/utils";
-import { chooseMoveTarget } from "../decisions/choose_move_target.js";
-import { estimateNeed } from "../decisions/estimate_need.js";
+import { monotonicMs } from "@jujubeladder/utils";
 import { estimateRetryAfter } from "../decisions/estimate_retry_after.js";
 import type { OutlierScores } from "../decisions/outlier_scores.js";
 import { RateMeter } from "../decisions/rate_meter.js";
@@ -16,12 +14,15 @@
 import type { RunnerDirectory } from "../views/runner_directory.js";
 import type { AttemptOutcome } from "./attempt_outcome.js";
 import type { FinalOutcome } from "./final_outcome.js";
+import { logAttempt } from "./log_attempt.js";
 import { mayRepeat } from "./may_repeat.js";
+import { noteStream } from "./note_stream.js";
 import type { PlacementDesk } from "./placement_desk.js";
 import type { RelayProgress } from "./relay_progress.js";
 import type { RequestContext } from "./request_context.js";
 import { runAttempt } from "./run_attempt.js";
-import { RunMove } from "./run_move.js";
+import type { RunMove } from "./run_move.js";
+import { RunMover } from "./run_mover.js";
 import { StreamSession } from "./stream_session.js";
 
 /** Connections take a round trip, which is under 100 ms between regions. */
@@ -39,11 +40,6 @@
 const SLOW_STREAM_SHARE = 1.5;
 /** A final answer leaves this much before the route's timeout. */
 const ANSWER_MARGIN_MS = 20;
-/** Runners give about two seconds of notice, of which some has passed. */
-const LEAST_NOTICE_MS = 1_400;
-/** Engines report what was so this long ago. */
-const REPORT_LAG_MS = 550;
-const REPORT_TIMEOUT_MS = 250;
 /** Ranks at an engine: urgent requests, then the rest; 0 is first. */
 const ENGINE_PRIORITY_STEP = 2;
 
@@ -66,13 +62,11 @@
 export class RequestRelay {
   readonly #parts: RelayParts;
   readonly #places = new RateMeter();
-  readonly #moves = new Map<string, Set<RunMove>>();
+  readonly #mover: RunMover;
 
   constructor(parts: RelayParts) {
     this.#parts = parts;
-    parts.directory.events.on("leaving", (runner) => {
-      void this.#moveRunsAway(runner);
-    });
+    this.#mover = new RunMover(parts);
   }
 
   /** Serves one request to its end; the answer has then been sent. */
@@ -96,35 +90,10 @@
       continueAt: undefined,
     };
     const outcome = await this.#runAttempts(context, session, progress);
-    if (session) this.#noteStream(context, session, progress);
+    if (session) noteStream(this.#parts, context, { session, progress });
     return outcome;
   }
 
-  #noteStream(
-    context: RequestContext,
-    session: StreamSession,
-    progress: RelayProgress,
-  ): void {
-    const { metrics, logger } = this.#parts;
-    const { firstEventAtMs, longestGapMs } = session;
-    const firstEventMs =
-      firstEventAtMs === undefined
-        ? undefined
-        : firstEventAtMs - context.receivedAtMs;
-    if (firstEventMs !== undefined) {
-      metrics.record("first_token_ms", firstEventMs);
-      metrics.record("token_gap_ms", longestGapMs);
-    }
-    logger.info("stream", {
-      request: context.request.requestId,
-      route: context.route.routeId,
-      events: session.eventCount,
-      offers: progress.offers,
-      first_event_ms: firstEventMs,
-      longest_gap_ms: longestGapMs,
-    });
-  }
-
   async #runAttempts(
     context: RequestContext,
     session: StreamSession | undefined,
@@ -208,7 +177,7 @@
     const { desk, pool, codec, directory } = this.#parts;
     const placement = desk.take(runner.runnerId, request.work);
     session?.follow(placement);
-    const move = this.#watchMove(context, runner);
+    const move = this.#mover.watch(context, runner);
     const continueFrom = progress.continueAt?.memory;
     progress.continueAt = undefined;
     try {
@@ -270,8 +239,7 @@
       return outcome;
     } finally {
       desk.release(placement);
-      move?.finish();
-      if (move) this.#moves.get(runner.runnerId)?.delete(move);
+      if (move) this.#mover.forget(runner, move);
     }
   }
 
@@ -286,7 +254,7 @@
     },
   ): FinalOutcome | undefined {
     const { runner, outcome, progress } = attempt;
-    this.#logAttempt(context, attempt);
+    logAttempt(this.#parts.logger, context, attempt);
     progress.excluded.add(runner.runnerId);
     const canRepeat = mayRepeat(context.route.repeat);
     switch (outcome.type) {
@@ -400,85 +368,6 @@
     const leftMs = route.targetLatencyMs * share - sinceMs;
     return leftMs > 0 ? leftMs : undefined;
   }
-
-  #watchMove(
-    context: RequestContext,
-    runner: GatewayRunner,
-  ): RunMove | undefined {
-    const { service, request } = context;
-    const { engine } = service;
-    if (!engine?.canMove) return undefined;
-    const { control, desk, logger } = this.#parts;
-    const move = new RunMove({
-      source: runner,
-      requestId: request.requestId,
-      control,
-      logger,
-      chooseTarget: (refused) =>
-        chooseMoveTarget(
-          desk.listCandidates({ service, excludedRunnerIds: refused }),
-          {
-            requestId: request.requestId,
-            needTokens: request.work ? estimateNeed(request.work, 0) : 0,
-            source: runner,
-            sourceTokens: desk.findLoad(runner.runnerId).peakTokens,
-            engine,
-          },
-        ),
-    });
-    const moves = this.#moves.get(runner.runnerId) ?? new Set();
-    moves.add(move);
-    this.#moves.set(runner.runnerId, moves);
-    return move;
-  }
-
-  async #moveRunsAway(source: GatewayRunner): Promise<void> {
-    const moves = [...(this.#moves.get(source.runnerId) ?? [])];
-    if (moves.length === 0) return;
-    const noticedAtMs = monotonicMs();
-    for (const move of moves) move.start(noticedAtMs + LEAST_NOTICE_MS);
-    // Reports lag, so an earlier one would not know that the runner leaves.
-    await sleep(REPORT_LAG_MS);
-    const readAtMs = monotonicMs();
-    const report = await this.#parts.control.readReport(
-      source,
-      REPORT_TIMEOUT_MS,
-    );
-    const { leavesInMs } = report;
-    this.#parts.logger.info("runner_leaves_in", {
-      runner: source.runnerId,
-      leaves_in_ms: leavesInMs,
-      since_notice_ms: readAtMs - noticedAtMs,
-      runs: moves.length,
-    });
-    if (leavesInMs === undefined) return;
-    // The report's time left is as old as the rest of it.
-    const goneAtMs = readAtMs - REPORT_LAG_MS + leavesInMs;
-    for (const move of moves) move.setGoneAt(goneAtMs);
-  }
-
-  #logAttempt(
-    context: RequestContext,
-    attempt: {
-      readonly runner: GatewayRunner;
-      readonly outcome: AttemptOutcome;
-      readonly progress: RelayProgress;
-    },
-  ): void {
-    const { runner, outcome, progress } = attempt;
-    this.#parts.logger.info("attempt", {
-      request: context.request.requestId,
-      route: context.route.routeId,
-      runner: runner.runnerId,
-      zone: runner.availabilityZone,
-      offer: progress.offers,
-      outcome: progress.continueAt ? "moved" : outcome.type,
-      reason: "reason" in outcome ? outcome.reason : undefined,
-      goes_on_at: progress.continueAt?.runner.runnerId,
-      config_version: context.configVersion,
-      since_ms: monotonicMs() - context.receivedAtMs,
-    });
-  }
 }
 
 function remainingMs({ deadlineAtMs }: RequestContext): number {
--- a/packages/gateway/src/server/caller_server.ts
+++ b/packages/gateway/src/server/caller_server.ts
@@ -9,19 +9,16 @@
 import type { Quarantine } from "@jujubeladder/coordination";
 import type { Logger } from "@jujubeladder/logger";
 import type { Metrics } from "@jujubeladder/metrics";
-import { computeFingerprint, monotonicMs } from "@jujubeladder/utils";
-import { findRoute } from "../decisions/find_route.js";
-import { fitsBeforeStop } from "../decisions/fits_before_stop.js";
-import { pickService } from "../decisions/pick_service.js";
+import { monotonicMs } from "@jujubeladder/utils";
 import { toRefusalStatus } from "../decisions/to_refusal_status.js";
 import type { CallerRequest } from "../model/caller_request.js";
 import type { GatewayCodec } from "../model/gateway_codec.js";
 import type { Refusal } from "../model/refusal.js";
 import type { CallerAnswer } from "../relay/caller_answer.js";
 import type { FinalOutcome } from "../relay/final_outcome.js";
-import type { RequestContext } from "../relay/request_context.js";
 import type { RequestRelay } from "../relay/request_relay.js";
 import type { ConfigInForce } from "../views/config_in_force.js";
+import { admitRequest } from "./admit_request.js";
 import { HttpCallerAnswer } from "./http_caller_answer.js";
 import { readBody } from "./read_body.js";
 
@@ -33,10 +30,6 @@
 const MAX_HELD_BYTES = 48 * 1_048_576;
 /** Idle connections are kept this much longer than callers may use them. */
 const IDLE_MARGIN_MS = 1_000;
-/** Callers of an instance that can't serve now come back elsewhere. */
-const ELSEWHERE_RETRY_MS = 150;
-/** Before the first configuration; it is a store's answer away. */
-const UNINFORMED_RETRY_MS = 500;
 const DEFAULT_MAX_BODY_BYTES = 4_194_304;
 const MS_PER_SECOND = 1_000;
 
@@ -168,7 +161,7 @@
       return;
     }
     const request = decoded.value;
-    const admitted = this.#admit(request, received);
+    const admitted = admitRequest(request, received, this.#parts);
     if (!admitted.ok) {
       this.#finish(request, received, {
         type: "refused",
@@ -180,63 +173,6 @@
     this.#finish(request, received, outcome);
   }
 
-  // Everything that can be decided before a runner is sought.
-  #admit(
-    request: CallerRequest,
-    received: {
-      readonly answer: CallerAnswer;
-      readonly body: Buffer;
-      readonly receivedAtMs: number;
-    },
-  ):
-    | { readonly ok: true; readonly value: RequestContext }
-    | { readonly ok: false; readonly error: Refusal } {
-    const { config, quarantine, keyProofMaxAgeMs, stopLeftMs } = this.#parts;
-    if (!config.config) {
-      return notRun("no configuration yet", UNINFORMED_RETRY_MS);
-    }
-    const route = findRoute(config.routes, request);
-    if (!route) return { ok: false, error: { type: "no_route" } };
-    const isKeyed = config.config.teams.length > 0 && !route.isPublic;
-    const team = isKeyed ? config.findTeam(request.apiKey ?? "") : undefined;
-    if (isKeyed) {
-      const maxAgeMs = keyProofMaxAgeMs ?? Number.POSITIVE_INFINITY;
-      if (config.confirmedAgeMs > maxAgeMs) {
-        return notRun("keys cannot be checked", ELSEWHERE_RETRY_MS);
-      }
-      if (!team) return { ok: false, error: { type: "unknown_key" } };
-    }
-    const service = config.findService(pickService(route, request.requestId));
-    if (!service) return notRun("no such service", UNINFORMED_RETRY_MS);
-    const leftMs = stopLeftMs();
-    if (leftMs !== undefined && !fitsBeforeStop(request.work, leftMs)) {
-      return notRun("this instance stops", ELSEWHERE_RETRY_MS);
-    }
-    const fingerprint = computeFingerprint(
-      team?.teamId ?? "",
-      `${request.method} ${request.target}\n${received.body.toString("latin1")}`,
-    );
-    if (quarantine.status(fingerprint).type === "quarantined") {
-      return notRun("it has crashed several runners", MS_PER_SECOND);
-    }
-    const patienceMs = request.patienceMs ?? Number.POSITIVE_INFINITY;
-    return {
-      ok: true,
-      value: {
-        request,
-        ...received,
-        route,
-        service,
-        team,
-        fingerprint,
-        priority: team?.priority ?? route.priority,
-        configVersion: config.version,
-        deadlineAtMs:
-          received.receivedAtMs + Math.min(route.timeoutMs, patienceMs),
-      },
-    };
-  }
-
   #finish(
     request: CallerRequest,
     received: { readonly answer: CallerAnswer; readonly receivedAtMs: number },
@@ -309,10 +245,3 @@
     );
   }
 }
-
-function notRun(
-  reason: string,
-  retryAfterMs: number,
-): { readonly ok: false; readonly error: Refusal } {
-  return { ok: false, error: { type: "not_run", reason, retryAfterMs } };
-}
--- a/packages/gateway/src/server/gateway_instance.ts
+++ b/packages/gateway/src/server/gateway_instance.ts
@@ -1,25 +1,22 @@
 import type { Server } from "node:http";
 import type { Http2Server } from "node:http2";
 import {
-  LeavingRunners,
-  Membership,
   PeerDirectory,
   Quarantine,
   servePeers,
-  Successions,
+  type Membership,
 } from "@jujubeladder/coordination";
 import type { Logger } from "@jujubeladder/logger";
 import { Metrics } from "@jujubeladder/metrics";
-import { createId, monotonicMs, sleep } from "@jujubeladder/utils";
+import { monotonicMs, sleep } from "@jujubeladder/utils";
 import { LoadBook } from "../decisions/load_book.js";
 import { OutlierScores } from "../decisions/outlier_scores.js";
 import { RetryAllowance } from "../decisions/retry_allowance.js";
-import { createGossipExtension } from "../mesh/create_gossip_extension.js";
+import { createMembership } from "../mesh/create_membership.js";
 import { PeerRoster } from "../mesh/peer_roster.js";
 import type { EngineControl } from "../model/engine_control.js";
 import type { GatewayCodec } from "../model/gateway_codec.js";
 import type { MetadataStore } from "../model/metadata_store.js";
-import { toLifeId } from "../model/to_life_id.js";
 import { LossWatch } from "../relay/loss_watch.js";
 import { PlacementDesk } from "../relay/placement_desk.js";
 import { RequestRelay } from "../relay/request_relay.js";
@@ -32,14 +29,10 @@
 import type { GatewaySettings } from "./gateway_settings.js";
 import { serveSimple } from "./serve_simple.js";
 
-/** Instances swap loads this often; engines report with a similar lag. */
-const GOSSIP_INTERVAL_MS = 500;
 /** Fleet size that is assumed before peers have been heard of. */
 const LEAST_FLEET = 10;
 /** Different runners lost to one request until it is barred. */
 const QUARANTINE_LOSSES = 3;
-/** Nothing succeeds itself here; handovers are not part of the gateway. */
-const SUCCESSION_KEPT_MS = 1_000;
 const HOUSEKEEPING_MS = 500;
 /** The balancer needs two readiness checks, a second apart, to stop. */
 const STOP_ACCEPT_MS = 3_500;
@@ -90,9 +83,16 @@
     const ownAddress = `${settings.peers.host}:${settings.peers.port}`;
     this.#roster = new PeerRoster(ownAddress, settings.seeds);
     this.#peers = new PeerDirectory((id) => this.#roster.find(id));
-    this.#membership = this.#createMembership(ownAddress, {
+    this.#membership = createMembership({
+      ownAddress,
+      settings,
+      config: this.#config,
+      directory: this.#directory,
+      roster: this.#roster,
+      peers: this.#peers,
       loads,
       quarantine,
+      logger,
     });
     const lossWatch = new LossWatch({
       directory: this.#directory,
@@ -228,45 +228,6 @@
     for (const server of this.#servers) server.close();
   }
 
-  #createMembership(
-    ownAddress: string,
-    parts: { readonly loads: LoadBook; readonly quarantine: Quarantine },
-  ): Membership {
-    const { availabilityZone, region } = this.#settings;
-    const config = this.#config;
-    const leavingRunners = new LeavingRunners();
-    this.#directory.events.on("leaving", (runner) => {
-      leavingRunners.note(toLifeId(runner));
-    });
-    return new Membership(
-      {
-        identity: { instanceId: ownAddress, incarnation: createId() },
-        availabilityZone,
-        region,
-        leavingRunners,
-        quarantine: parts.quarantine,
-        successions: new Successions(SUCCESSION_KEPT_MS),
-        revision: () => config.version,
-        documentHash: () => config.hash,
-        offerDocument: (text) => {
-          config.offer(text, "peer");
-        },
-        extension: createGossipExtension({
-          roster: this.#roster,
-          loads: parts.loads,
-          config,
-          directory: this.#directory,
-        }),
-      },
-      {
-        directory: this.#peers,
-        listInstances: () => this.#roster.listInstances(),
-        logger: this.#logger,
-        intervalMs: GOSSIP_INTERVAL_MS,
-      },
-    );
-  }
-
   #stopLeftMs(): number | undefined {
     return this.#stopAtMs === undefined
       ? undefined
