--- a/packages/gateway/src/mesh/create_gossip_extension.ts
+++ b/packages/gateway/src/mesh/create_gossip_extension.ts
@@ -62,7 +62,6 @@
         config.confirm({
           monotonicMs: sentAt.monotonicMs - confirmedAgeMs,
           wallMs: sentAt.wallMs - confirmedAgeMs,
-          bootMs: sentAt.bootMs - confirmedAgeMs,
         });
       }
     },
--- a/packages/utils/src/clock_reading.ts
+++ b/packages/utils/src/clock_reading.ts
@@ -1,6 +1,5 @@
-/** One moment on three clocks. */
+/** One moment on two clocks. */
 export interface ClockReading {
   readonly monotonicMs: number;
   readonly wallMs: number;
-  readonly bootMs: number;
 }
--- a/packages/utils/src/elapsed_at_most_ms.ts
+++ b/packages/utils/src/elapsed_at_most_ms.ts
@@ -3,8 +3,8 @@
 
 /**
  * Upper estimate of the time since a reading. The monotonic clock may stand
- * still while a machine is suspended and the wall clock may jump, so the
- * largest of the differences counts.
+ * still while a machine is suspended, which the wall clock shows, and the wall
+ * clock may jump, so the larger of the differences counts.
  */
 export function elapsedAtMostMs(
   since: ClockReading,
@@ -13,6 +13,5 @@
   return Math.max(
     now.monotonicMs - since.monotonicMs,
     now.wallMs - since.wallMs,
-    now.bootMs - since.bootMs,
   );
 }
--- a/packages/utils/src/read_clocks.ts
+++ b/packages/utils/src/read_clocks.ts
@@ -1,14 +1,10 @@
-import { uptime } from "node:os";
 import type { ClockReading } from "./clock_reading.js";
 import { monotonicMs } from "./monotonic_ms.js";
 
-const MS_PER_SECOND = 1_000;
-
-/** Reads all clocks, for `elapsedAtMostMs`. */
+/**
+ * Reads the clocks for `elapsedAtMostMs`. The uptime that Node offers is left
+ * out: it comes from /proc, which may show another machine's than the clocks.
+ */
 export function readClocks(): ClockReading {
-  return {
-    monotonicMs: monotonicMs(),
-    wallMs: Date.now(),
-    bootMs: uptime() * MS_PER_SECOND,
-  };
+  return { monotonicMs: monotonicMs(), wallMs: Date.now() };
 }
