Share the length guess, the sliding window and the hash of a share

Cause: each stood twice in decisions/; OutlierScores.forget had no caller. Change: expectOutputTokens, dropBefore and hashToShare serve both places; same figures and order of operations. Measured: lint, build, the gateway's tests and the stream tests pass.

--- a/packages/gateway/src/decisions/choose_move_target.ts
+++ b/packages/gateway/src/decisions/choose_move_target.ts
@@ -1,6 +1,7 @@
-import { hashText, rankByRendezvous } from "@jujubeladder/utils";
+import { rankByRendezvous } from "@jujubeladder/utils";
 import type { EngineFeatures } from "../model/engine_features.js";
 import type { GatewayRunner } from "../model/gateway_runner.js";
+import { hashToShare } from "./hash_to_share.js";
 import type { RunnerCandidate } from "./runner_candidate.js";
 
 /** Predicted share of a runner's memory up to which it takes a moved run. */
@@ -40,7 +41,7 @@
   const near = roomy.filter(isNear);
   const nearTokens = near.reduce((sum, { roomTokens }) => sum + roomTokens, 0);
   const nearShare = nearTokens / Math.max(1, move.sourceTokens);
-  const point = (hashText(requestId) >>> 0) / 2 ** 32;
+  const point = hashToShare(requestId);
   const far = roomy.filter((candidate) => !isNear(candidate));
   const isForNear = near.length > 0 && (point < nearShare || far.length === 0);
   const pool = isForNear ? near : far;
--- a/packages/gateway/src/decisions/estimate_need.ts
+++ b/packages/gateway/src/decisions/estimate_need.ts
@@ -1,10 +1,6 @@
 import type { GenerationWork } from "../model/generation_work.js";
+import { expectOutputTokens } from "./expect_output_tokens.js";
 
-/**
- * Share of the longest possible output that is assumed without an estimate;
- * half, as nothing is known.
- */
-const UNKNOWN_LENGTH_SHARE = 0.5;
 /** A run that has passed its estimate is taken to go on by this share. */
 const OVERRUN_SHARE = 0.25;
 
@@ -13,8 +9,7 @@
   work: GenerationWork,
   producedTokens: number,
 ): number {
-  const expected =
-    work.expectedOutputTokens ?? work.maxOutputTokens * UNKNOWN_LENGTH_SHARE;
+  const expected = expectOutputTokens(work);
   const likely = Math.max(expected, producedTokens * (1 + OVERRUN_SHARE));
   const output = Math.min(
     Math.max(work.maxOutputTokens, producedTokens),
--- a/packages/gateway/src/decisions/fits_before_stop.ts
+++ b/packages/gateway/src/decisions/fits_before_stop.ts
@@ -1,4 +1,5 @@
 import type { GenerationWork } from "../model/generation_work.js";
+import { expectOutputTokens } from "./expect_output_tokens.js";
 
 /** Time of one output token on a busy engine; from its data sheet. */
 const TOKEN_MS = 11;
@@ -6,8 +7,6 @@
 const FIRST_TOKEN_MS = 600;
 /** Work of a plain service takes well under a second. */
 const PLAIN_MS = 800;
-/** Share of the longest output that is assumed without an estimate. */
-const UNKNOWN_LENGTH_SHARE = 0.5;
 
 /**
  * True when a request that arrives while this instance stops will probably be
@@ -19,7 +18,5 @@
   leftMs: number,
 ): boolean {
   if (!work) return leftMs > PLAIN_MS;
-  const tokens =
-    work.expectedOutputTokens ?? work.maxOutputTokens * UNKNOWN_LENGTH_SHARE;
-  return leftMs > FIRST_TOKEN_MS + tokens * TOKEN_MS;
+  return leftMs > FIRST_TOKEN_MS + expectOutputTokens(work) * TOKEN_MS;
 }
--- a/packages/gateway/src/decisions/outlier_scores.ts
+++ b/packages/gateway/src/decisions/outlier_scores.ts
@@ -31,8 +31,4 @@
     const ageMs = monotonicMs() - score.atMs;
     return score.share * 2 ** (-ageMs / HALF_LIFE_MS);
   }
-
-  forget(runnerId: string): void {
-    this.#scores.delete(runnerId);
-  }
 }
--- a/packages/gateway/src/decisions/rate_meter.ts
+++ b/packages/gateway/src/decisions/rate_meter.ts
@@ -1,4 +1,5 @@
 import { monotonicMs } from "@jujubeladder/utils";
+import { dropBefore } from "./drop_before.js";
 
 /** Span over which events are counted. */
 const WINDOW_MS = 2_000;
@@ -18,8 +19,6 @@
   }
 
   #forget(): void {
-    const sinceMs = monotonicMs() - WINDOW_MS;
-    const keep = this.#atMs.findIndex((atMs) => atMs >= sinceMs);
-    this.#atMs.splice(0, keep === -1 ? this.#atMs.length : keep);
+    dropBefore(this.#atMs, monotonicMs() - WINDOW_MS);
   }
 }
--- a/packages/gateway/src/decisions/retry_allowance.ts
+++ b/packages/gateway/src/decisions/retry_allowance.ts
@@ -1,4 +1,5 @@
 import { monotonicMs } from "@jujubeladder/utils";
+import { dropBefore } from "./drop_before.js";
 
 /** Bound on arrivals at a service beyond the first of each request. */
 interface RetryBound {
@@ -55,8 +56,3 @@
     return counts;
   }
 }
-
-function dropBefore(timesMs: number[], sinceMs: number): void {
-  const keep = timesMs.findIndex((atMs) => atMs >= sinceMs);
-  timesMs.splice(0, keep === -1 ? timesMs.length : keep);
-}
