Keep peer connections of our own; send no ticket to oneself

Ruled out: load as the cause. Change: PeerConnection and PeerSession replace the manager; the socket is destroyed with the session. A ticket of an earlier life goes to the witness.

--- /dev/null
+++ b/packages/coordination/src/__tests__/peer_directory.test.ts
@@ -0,0 +1,144 @@
+import type { Http2Server } from "node:http2";
+import type { AddressInfo } from "node:net";
+import process from "node:process";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { sleep } from "@jujubeladder/utils";
+import { PeerDirectory } from "../peer_directory.js";
+import { servePeers } from "../serve_peers.js";
+import { PeerLink } from "./harness/peer_link.js";
+
+/** Bound on one call, as gossip has it. */
+const CALL_MS = 1_500;
+const LONG_CALL_MS = 30_000;
+/** A silent connection is found dead within two probes of a second each. */
+const FOUND_DEAD_MS = 2_300;
+/** A connection that was idle for this long is probed before it is used. */
+const STALE_MS = 1_200;
+
+interface Context {
+  readonly link: PeerLink;
+  readonly server: Http2Server;
+  readonly directory: PeerDirectory;
+  call(): Promise<"answered" | "failed">;
+  longCall(): Promise<"answered" | "failed">;
+  close(): void;
+}
+
+async function createContext(): Promise<Context> {
+  const server = await servePeers(
+    {
+      gossip: () => ({}),
+      runTicket: async () => {
+        await sleep(LONG_CALL_MS);
+        return { isNotOwner: true };
+      },
+    },
+    { host: "127.0.0.1", port: 0 },
+  );
+  const link = new PeerLink((server.address() as AddressInfo).port);
+  await link.open();
+  const directory = new PeerDirectory((instanceId) => ({
+    instanceId,
+    host: "127.0.0.1",
+    peerPort: link.port,
+    region: "r1",
+    availabilityZone: "r1-a",
+    state: "live",
+  }));
+  const settle = async (call: Promise<unknown> | undefined) =>
+    await Promise.resolve(call).then(
+      () => "answered" as const,
+      () => "failed" as const,
+    );
+  return {
+    link,
+    server,
+    directory,
+    call: async () =>
+      settle(directory.find("peer")?.gossip({}, { timeoutMs: CALL_MS })),
+    longCall: async () =>
+      settle(
+        directory.find("peer")?.runTicket({}, { timeoutMs: LONG_CALL_MS }),
+      ),
+    close: () => {
+      directory.close();
+      link.close();
+      server.close();
+    },
+  };
+}
+
+test("a peer whose connection has gone silent is reached anew", async () => {
+  const context = await createContext();
+  try {
+    assert.is(await context.call(), "answered");
+    context.link.silence();
+    await sleep(STALE_MS);
+    assert.is(await context.call(), "failed");
+    // New connections work, while the old one stays silent for good.
+    context.link.restore();
+    await sleep(STALE_MS);
+    assert.is(await context.call(), "answered");
+    await sleep(STALE_MS);
+    assert.is(await context.call(), "answered");
+  } finally {
+    context.close();
+  }
+});
+
+test("a connection that ends while it is probed is replaced", async () => {
+  const context = await createContext();
+  try {
+    assert.is(await context.call(), "answered");
+    context.link.silence();
+    await sleep(STALE_MS);
+    const probing = context.call();
+    await sleep(200);
+    context.link.restore();
+    context.link.endAll("end");
+    await probing;
+    for (let round = 0; round < 2; round += 1) {
+      await sleep(STALE_MS);
+      assert.is(await context.call(), "answered");
+    }
+  } finally {
+    context.close();
+  }
+});
+
+test("calls under way on a silent connection fail within seconds", async () => {
+  const context = await createContext();
+  try {
+    assert.is(await context.call(), "answered");
+    context.link.silence();
+    const startedAtMs = Date.now();
+    assert.is(await context.longCall(), "failed");
+    assert.ok(Date.now() - startedAtMs < 2 * FOUND_DEAD_MS);
+  } finally {
+    context.close();
+  }
+});
+
+test("the late end of a connection that was given up ends no process", async () => {
+  const context = await createContext();
+  const uncaught: unknown[] = [];
+  const note = (error: unknown) => uncaught.push(error);
+  process.on("uncaughtException", note);
+  try {
+    assert.is(await context.call(), "answered");
+    context.link.silence();
+    void context.longCall();
+    await sleep(FOUND_DEAD_MS);
+    context.link.restore();
+    assert.is(await context.call(), "answered");
+    context.link.endAll("reset");
+    await sleep(100);
+    assert.equal(uncaught, []);
+  } finally {
+    process.off("uncaughtException", note);
+    context.close();
+  }
+});
+
+test.run();
--- a/packages/coordination/src/peer_directory.ts
+++ b/packages/coordination/src/peer_directory.ts
@@ -1,19 +1,13 @@
 import { createClient, type Client } from "@connectrpc/connect";
-import {
-  createConnectTransport,
-  Http2SessionManager,
-} from "@connectrpc/connect-node";
+import { createConnectTransport } from "@connectrpc/connect-node";
 import { PeerService } from "@jujubeladder/protocol";
 import type { Instance } from "@jujubeladder/types";
-
-const PING_INTERVAL_MS = 1_000;
-const PING_TIMEOUT_MS = 1_000;
-const IDLE_TIMEOUT_MS = 5_000;
+import { PeerSession } from "./peer_session.js";
 
 interface Entry {
   readonly url: string;
   readonly client: Client<typeof PeerService>;
-  readonly session: Http2SessionManager;
+  readonly session: PeerSession;
 }
 
 /** Where the instance list says a peer is. */
@@ -58,11 +52,7 @@
 }
 
 function connect(url: string): Entry {
-  const session = new Http2SessionManager(url, {
-    pingIntervalMs: PING_INTERVAL_MS,
-    pingTimeoutMs: PING_TIMEOUT_MS,
-    idleConnectionTimeoutMs: IDLE_TIMEOUT_MS,
-  });
+  const session = new PeerSession(url);
   const transport = createConnectTransport({
     baseUrl: url,
     httpVersion: "2",
--- a/packages/coordination/src/ticket_service.ts
+++ b/packages/coordination/src/ticket_service.ts
@@ -180,6 +180,8 @@
     sealed: string,
     body: SubmissionBody,
   ): Promise<SubmissionResult | undefined> {
+    // An earlier life of this instance; it has ended without a successor.
+    if (owner.instanceId === this.#identity.instanceId) return undefined;
     const client = this.#directory.find(owner.instanceId);
     if (!client) return undefined;
     try {
