--- a/packages/gateway/src/decisions/advance_move.ts
+++ b/packages/gateway/src/decisions/advance_move.ts
@@ -4,10 +4,11 @@
 import type { MoveState } from "./move_state.js";
 import type { MoveStep } from "./move_step.js";
 
-/** Targets without room that a move tries before it gives up. */
-const MAX_REFUSALS = 5;
-/** A run begins with its first token, until which it can't be copied. */
-const MAX_MISSES = 12;
+/**
+ * Copies and searches without success until a move is given up. With the
+ * pauses after them they cover the two seconds of a runner's notice.
+ */
+const MAX_TRIES = 17;
 
 type CopyAnswered = Extract<MoveEvent, { type: "copy_answered" }>;
 type Copying = Extract<MoveState, { type: "copying" }>;
@@ -22,11 +23,15 @@
 export function advanceMove(state: MoveState, event: MoveEvent): MoveStep {
   switch (event.type) {
     case "source_leaves":
-      return state.type === "resting" ? begin(event.target) : { state };
+      return state.type === "resting" ? copyOrSeek(event.target, 0) : { state };
     case "copy_answered":
       if (state.type === "copying") return afterCopy(state, event);
       if (state.type === "stopping") return afterStop(state, event);
       return { state };
+    case "target_sought":
+      return state.type === "seeking"
+        ? copyOrSeek(event.target, state.tries)
+        : { state };
     case "time_to_stop":
       return state.type === "copied" ? stop(state) : { state };
     case "stream_broke":
@@ -36,17 +41,27 @@
   }
 }
 
-function begin(target: GatewayRunner | undefined): MoveStep {
-  if (!target) return giveUp("no runner has room");
-  return {
-    state: { type: "copying", target, refusals: 0, misses: 0 },
-    order: { type: "copy", target, isFinal: false },
-  };
+// A try that finds no target counts, so that the search ends.
+function copyOrSeek(
+  target: GatewayRunner | undefined,
+  tries: number,
+): MoveStep {
+  if (tries >= MAX_TRIES) return giveUp("no runner has room");
+  return target
+    ? {
+        state: { type: "copying", target, tries },
+        order: { type: "copy", target, isFinal: false },
+      }
+    : {
+        state: { type: "seeking", tries: tries + 1 },
+        order: { type: "seek_later" },
+      };
 }
 
 function afterCopy(state: Copying, event: CopyAnswered): MoveStep {
   const { outcome } = event;
-  const { target, misses } = state;
+  const { target } = state;
+  const tries = state.tries + 1;
   switch (outcome.type) {
     case "copied": {
       const memory = toMemory(event, outcome.handle);
@@ -56,14 +71,15 @@
       };
     }
     case "no_such_run":
-      return misses + 1 >= MAX_MISSES
+      // A run begins with its first token, until which it can't be copied.
+      return tries >= MAX_TRIES
         ? giveUp("the runner has no such run")
         : {
-            state: { ...state, misses: misses + 1 },
+            state: { ...state, tries },
             order: { type: "copy_later", target },
           };
     case "refused":
-      return tryNext(state, event.nextTarget);
+      return copyOrSeek(event.nextTarget, tries);
     case "already_copying":
       return giveUp("the run is being copied already");
     case "unreachable":
@@ -71,15 +87,6 @@
   }
 }
 
-function tryNext(state: Copying, target: GatewayRunner | undefined): MoveStep {
-  const refusals = state.refusals + 1;
-  if (!target || refusals >= MAX_REFUSALS) return giveUp("no runner has room");
-  return {
-    state: { ...state, target, refusals },
-    order: { type: "copy", target, isFinal: false },
-  };
-}
-
 function stop(state: Extract<MoveState, { type: "copied" }>): MoveStep {
   const { target } = state;
   return {
@@ -122,6 +129,7 @@
       return { state: { type: "stopped", runner: target, memory } };
     }
     case "resting":
+    case "seeking":
     case "copying":
       return giveUp("the stream broke before a copy was made");
     case "stopped":
--- a/packages/gateway/src/decisions/move_event.ts
+++ b/packages/gateway/src/decisions/move_event.ts
@@ -5,6 +5,7 @@
 export type MoveEvent =
   | {
       readonly type: "source_leaves";
+      /** Absent when no runner has room now. */
       readonly target?: GatewayRunner | undefined;
     }
   | {
@@ -14,6 +15,11 @@
       /** Another runner to try, when the first one has no room. */
       readonly nextTarget?: GatewayRunner | undefined;
     }
+  /** A target was looked for once more, after a pause. */
+  | {
+      readonly type: "target_sought";
+      readonly target?: GatewayRunner | undefined;
+    }
   /** The source is about to be gone; the run must stop there now. */
   | { readonly type: "time_to_stop" }
   /** The stream ended early, so the run no longer works at its source. */
--- a/packages/gateway/src/decisions/move_order.ts
+++ b/packages/gateway/src/decisions/move_order.ts
@@ -10,6 +10,8 @@
     }
   /** Copy, after the run has had time to begin. */
   | { readonly type: "copy_later"; readonly target: GatewayRunner }
+  /** Raise `target_sought` after other work has had time to end. */
+  | { readonly type: "seek_later" }
   /** Break the stream from the source, on which the run there stops. */
   | { readonly type: "cut_source" }
   /** Raise `time_to_stop` when the source is about to be gone. */
--- a/packages/gateway/src/decisions/move_state.ts
+++ b/packages/gateway/src/decisions/move_state.ts
@@ -4,13 +4,14 @@
 /** Where the move of one run away from its runner stands. */
 export type MoveState =
   | { readonly type: "resting" }
+  /** No runner has room now; one is looked for again. */
+  | { readonly type: "seeking"; readonly tries: number }
   /** The memory is being copied while the run goes on. */
   | {
       readonly type: "copying";
       readonly target: GatewayRunner;
-      readonly refusals: number;
-      /** Times that the source did not know the run yet. */
-      readonly misses: number;
+      /** Copies and searches that came to nothing. */
+      readonly tries: number;
     }
   /** A copy exists; the run goes on until its runner is about to leave. */
   | {
--- a/packages/gateway/src/decisions/placement.ts
+++ b/packages/gateway/src/decisions/placement.ts
@@ -14,10 +14,15 @@
     this.#work = work;
   }
 
+  /** Notes that the prompt need not be read, or has been. */
+  noteRead(): void {
+    this.#isReading = false;
+  }
+
   /** Notes output; the prompt has then been read. */
   noteProduced(tokens: number): void {
     this.#producedTokens = tokens;
-    this.#isReading = false;
+    this.noteRead();
   }
 
   get load(): RunnerLoad {
--- a/packages/gateway/src/relay/run_move.ts
+++ b/packages/gateway/src/relay/run_move.ts
@@ -13,19 +13,26 @@
 const SETTLE_MS = 1_000;
 /** Time that a run gets to begin before it is asked for again. */
 const COPY_LATER_MS = 120;
+/** Time in which a run may end at a target that had no room. */
+const SEEK_LATER_MS = 200;
 /** Time for the rest of the copies of all runs, through one link. */
 const STOP_MARGIN_MS = 400;
 
 const WAIT_STEP_MS = 50;
 
-type ChooseTarget = (refused: ReadonlySet<string>) => GatewayRunner | undefined;
+/** Where a run can go. */
+interface MoveTargets {
+  choose(refused: ReadonlySet<string>): GatewayRunner | undefined;
+  /** Counts the copy as load of its target until the function is called. */
+  hold(target: GatewayRunner): () => void;
+}
 
 /** Carries out the move of one run away from one runner. */
 export class RunMove {
   readonly #source: GatewayRunner;
   readonly #requestId: string;
   readonly #control: EngineControl;
-  readonly #chooseTarget: ChooseTarget;
+  readonly #targets: MoveTargets;
   readonly #logger: Logger;
   readonly #refused = new Set<string>();
   readonly #ended = new AbortController();
@@ -33,18 +40,19 @@
   #goneAtMs = Number.POSITIVE_INFINITY;
   #work: Promise<void> | undefined;
   #cut: () => void = () => undefined;
+  #release: () => void = () => undefined;
 
   constructor(parts: {
     readonly source: GatewayRunner;
     readonly requestId: string;
     readonly control: EngineControl;
-    readonly chooseTarget: ChooseTarget;
+    readonly targets: MoveTargets;
     readonly logger: Logger;
   }) {
     this.#source = parts.source;
     this.#requestId = parts.requestId;
     this.#control = parts.control;
-    this.#chooseTarget = parts.chooseTarget;
+    this.#targets = parts.targets;
     this.#logger = parts.logger;
   }
 
@@ -58,7 +66,7 @@
   start(goneAtMs: number): void {
     if (this.#state.type !== "resting") return;
     this.#goneAtMs = goneAtMs;
-    const target = this.#chooseTarget(this.#refused);
+    const target = this.#targets.choose(this.#refused);
     const order = this.#advance({ type: "source_leaves", target });
     this.#work = this.#carryOut(order);
   }
@@ -85,6 +93,7 @@
   /** The run has ended, or its caller has left. */
   finish(): void {
     this.#ended.abort();
+    this.#release();
     const { type } = this.#state;
     if (type === "resting" || type === "stopped") return;
     const memory = "memory" in this.#state ? this.#state.memory : undefined;
@@ -113,6 +122,14 @@
           await sleep(COPY_LATER_MS, this.#ended.signal);
           order = { type: "copy", target: order.target, isFinal: false };
           break;
+        case "seek_later":
+          await sleep(SEEK_LATER_MS, this.#ended.signal);
+          this.#refused.clear();
+          order = this.#advance({
+            type: "target_sought",
+            target: this.#targets.choose(this.#refused),
+          });
+          break;
         case "cut_source":
           this.#cut();
           return;
@@ -139,6 +156,8 @@
   ): Promise<MoveOrder | undefined> {
     const source = this.#source;
     const startedAtMs = monotonicMs();
+    this.#release();
+    this.#release = this.#targets.hold(target);
     const outcome = await this.#control.copyRun(source, {
       requestId: this.#requestId,
       target,
@@ -156,7 +175,7 @@
     const isRefused = outcome.type === "refused";
     if (isRefused) this.#refused.add(target.runnerId);
     const nextTarget = isRefused
-      ? this.#chooseTarget(this.#refused)
+      ? this.#targets.choose(this.#refused)
       : undefined;
     return this.#advance({
       type: "copy_answered",
--- a/packages/gateway/src/relay/run_mover.ts
+++ b/packages/gateway/src/relay/run_mover.ts
@@ -48,17 +48,27 @@
       requestId: request.requestId,
       control,
       logger,
-      chooseTarget: (refused) =>
-        chooseMoveTarget(
-          desk.listCandidates({ service, excludedRunnerIds: refused }),
-          {
-            requestId: request.requestId,
-            needTokens: request.work ? estimateNeed(request.work, 0) : 0,
-            source: runner,
-            sourceTokens: desk.findLoad(runner.runnerId).peakTokens,
-            engine,
-          },
-        ),
+      targets: {
+        choose: (refused) =>
+          chooseMoveTarget(
+            desk.listCandidates({ service, excludedRunnerIds: new Set() }),
+            {
+              requestId: request.requestId,
+              needTokens: request.work ? estimateNeed(request.work, 0) : 0,
+              source: runner,
+              sourceTokens: desk.findLoad(runner.runnerId).peakTokens,
+              engine,
+              refused,
+            },
+          ),
+        hold: (target) => {
+          const placement = desk.take(target.runnerId, request.work);
+          placement.noteRead();
+          return () => {
+            desk.release(placement);
+          };
+        },
+      },
     });
     const moves = this.#moves.get(runner.runnerId) ?? new Set();
     moves.add(move);
