Ask engines whether they leave while the store is out

Ruled out: gossip, since all instances had lost the store at once. Change: while a read from the store fails or is overdue by 0.3 s, each instance reads the report of the engines that have its runs every 0.3 s. A leaving one is told to peers and its runs move as always. Tests: a run moves away while the store is out, reset and silent; both fail without the scout.

--- a/packages/gateway/src/relay/request_relay.ts
+++ b/packages/gateway/src/relay/request_relay.ts
@@ -6,7 +6,6 @@
 import type { OutlierScores } from "../decisions/outlier_scores.js";
 import { RateMeter } from "../decisions/rate_meter.js";
 import type { RetryAllowance } from "../decisions/retry_allowance.js";
-import type { EngineControl } from "../model/engine_control.js";
 import type { GatewayCodec } from "../model/gateway_codec.js";
 import type { GatewayRunner } from "../model/gateway_runner.js";
 import type { Refusal } from "../model/refusal.js";
@@ -22,7 +21,7 @@
 import type { RequestContext } from "./request_context.js";
 import { runAttempt } from "./run_attempt.js";
 import type { RunMove } from "./run_move.js";
-import { RunMover } from "./run_mover.js";
+import type { RunMover } from "./run_mover.js";
 import { StreamSession } from "./stream_session.js";
 
 /** Connections take a round trip, which is under 100 ms between regions. */
@@ -46,9 +45,9 @@
 /** The parts that a relay works with. */
 interface RelayParts {
   readonly codec: GatewayCodec;
-  readonly control: EngineControl;
   readonly pool: ConnectionPool;
   readonly desk: PlacementDesk;
+  readonly mover: RunMover;
   readonly directory: RunnerDirectory;
   readonly outliers: OutlierScores;
   readonly allowance: RetryAllowance;
@@ -62,11 +61,9 @@
 export class RequestRelay {
   readonly #parts: RelayParts;
   readonly #places = new RateMeter();
-  readonly #mover: RunMover;
 
   constructor(parts: RelayParts) {
     this.#parts = parts;
-    this.#mover = new RunMover(parts);
   }
 
   /** Serves one request to its end; the answer has then been sent. */
@@ -177,7 +174,7 @@
     const { desk, pool, codec, directory } = this.#parts;
     const placement = desk.take(runner.runnerId, request.work);
     session?.follow(placement);
-    const move = this.#mover.watch(context, runner);
+    const move = this.#parts.mover.watch(context, runner);
     const continueFrom = progress.continueAt?.memory;
     progress.continueAt = undefined;
     try {
@@ -239,7 +236,7 @@
       return outcome;
     } finally {
       desk.release(placement);
-      if (move) this.#mover.forget(runner, move);
+      if (move) this.#parts.mover.forget(runner, move);
     }
   }
 
--- a/packages/gateway/src/relay/run_mover.ts
+++ b/packages/gateway/src/relay/run_mover.ts
@@ -76,6 +76,14 @@
     return move;
   }
 
+  /** Runners that have runs which may have to move. */
+  listSources(): readonly GatewayRunner[] {
+    const { directory } = this.#parts;
+    return [...this.#moves.keys()].flatMap(
+      (runnerId) => directory.find(runnerId) ?? [],
+    );
+  }
+
   /** The run has ended here, or goes on elsewhere. */
   forget(runner: GatewayRunner, move: RunMove): void {
     move.finish();
--- a/packages/gateway/src/server/gateway_instance.ts
+++ b/packages/gateway/src/server/gateway_instance.ts
@@ -17,14 +17,17 @@
 import type { EngineControl } from "../model/engine_control.js";
 import type { GatewayCodec } from "../model/gateway_codec.js";
 import type { MetadataStore } from "../model/metadata_store.js";
+import { LeavingScout } from "../relay/leaving_scout.js";
 import { LossWatch } from "../relay/loss_watch.js";
 import { PlacementDesk } from "../relay/placement_desk.js";
 import { RequestRelay } from "../relay/request_relay.js";
+import { RunMover } from "../relay/run_mover.js";
 import { ConnectionPool } from "../transport/connection_pool.js";
 import { ConfigInForce } from "../views/config_in_force.js";
 import { followConfig } from "../views/follow_config.js";
 import { followRunners } from "../views/follow_runners.js";
 import { RunnerDirectory } from "../views/runner_directory.js";
+import { StoreLink } from "../views/store_link.js";
 import { CallerServer } from "./caller_server.js";
 import type { GatewaySettings } from "./gateway_settings.js";
 import { serveSimple } from "./serve_simple.js";
@@ -54,6 +57,9 @@
   readonly #membership: Membership;
   readonly #peers: PeerDirectory;
   readonly #callers: CallerServer;
+  readonly #scout: LeavingScout;
+  readonly #configLink: StoreLink;
+  readonly #runnersLink: StoreLink;
   readonly #store: MetadataStore;
   readonly #droppedLogLines: () => number;
   readonly #stopping = new AbortController();
@@ -100,16 +106,39 @@
       logger,
     });
     const { availabilityZone, region } = settings;
+    const desk = new PlacementDesk({
+      directory: this.#directory,
+      loads,
+      outliers,
+      place: { availabilityZone, region },
+    });
+    const mover = new RunMover({
+      control,
+      desk,
+      directory: this.#directory,
+      metrics: this.#metrics,
+      logger,
+    });
+    this.#configLink = new StoreLink("configuration", { logger });
+    this.#runnersLink = new StoreLink("runners", {
+      logger,
+      onRegained: () => {
+        this.#directory.noteListRegained();
+      },
+    });
+    this.#scout = new LeavingScout({
+      control,
+      directory: this.#directory,
+      listSources: () => mover.listSources(),
+      isListFresh: () =>
+        this.#configLink.isAnswering && this.#runnersLink.isAnswering,
+      logger,
+    });
     const relay = new RequestRelay({
       codec,
-      control,
       pool: this.#pool,
-      desk: new PlacementDesk({
-        directory: this.#directory,
-        loads,
-        outliers,
-        place: { availabilityZone, region },
-      }),
+      desk,
+      mover,
       directory: this.#directory,
       outliers,
       allowance: new RetryAllowance(settings.retry, () =>
@@ -151,9 +180,15 @@
       settings: this.#settings,
       signal: this.#stopping.signal,
     };
-    const following = { logger: this.#logger, signal };
-    void followConfig(this.#store, this.#config, following);
-    void followRunners(this.#store, this.#directory, following);
+    void followConfig(this.#store, this.#config, {
+      link: this.#configLink,
+      signal,
+    });
+    void followRunners(this.#store, this.#directory, {
+      link: this.#runnersLink,
+      signal,
+    });
+    void this.#scout.run(signal);
     const { readiness, metrics } = settings;
     this.#servers.push(
       await serveSimple(readiness, (path) => ({
--- a/packages/gateway/src/views/follow_config.ts
+++ b/packages/gateway/src/views/follow_config.ts
@@ -1,9 +1,8 @@
-import type { Logger } from "@jujubeladder/logger";
 import { readClocks, sleep } from "@jujubeladder/utils";
 import type { MetadataStore } from "../model/metadata_store.js";
 import { computeStoreBackoffMs } from "./compute_store_backoff_ms.js";
 import type { ConfigInForce } from "./config_in_force.js";
-import { StoreLink } from "./store_link.js";
+import type { StoreLink } from "./store_link.js";
 
 /** Each answer also confirms the version, so the wait bounds its age. */
 const WAIT_MS = 1_000;
@@ -14,14 +13,15 @@
 export async function followConfig(
   store: MetadataStore,
   view: ConfigInForce,
-  options: { readonly logger: Logger; readonly signal: AbortSignal },
+  options: { readonly link: StoreLink; readonly signal: AbortSignal },
 ): Promise<void> {
-  const link = new StoreLink("configuration", options);
+  const { link } = options;
   let asOf: number | undefined;
   // False while the newest configuration is one that was refused.
   let isNewest = false;
   while (!options.signal.aborted) {
     const sentAt = readClocks();
+    link.noteCall(asOf === undefined ? 0 : WAIT_MS);
     const answer = await readNext(store, asOf);
     if (!answer.ok) {
       link.noteFailure(answer.error);
--- a/packages/gateway/src/views/follow_runners.ts
+++ b/packages/gateway/src/views/follow_runners.ts
@@ -1,10 +1,9 @@
-import type { Logger } from "@jujubeladder/logger";
 import { sleep } from "@jujubeladder/utils";
 import type { MetadataStore } from "../model/metadata_store.js";
 import type { RunnerChange } from "../model/runner_change.js";
 import { computeStoreBackoffMs } from "./compute_store_backoff_ms.js";
 import type { RunnerDirectory } from "./runner_directory.js";
-import { StoreLink } from "./store_link.js";
+import type { StoreLink } from "./store_link.js";
 
 /** A leaving runner must be known within seconds, also on a dead connection. */
 const WAIT_MS = 1_500;
@@ -16,16 +15,12 @@
 export async function followRunners(
   store: MetadataStore,
   directory: RunnerDirectory,
-  options: { readonly logger: Logger; readonly signal: AbortSignal },
+  options: { readonly link: StoreLink; readonly signal: AbortSignal },
 ): Promise<void> {
-  const link = new StoreLink("runners", {
-    logger: options.logger,
-    onRegained: () => {
-      directory.noteListRegained();
-    },
-  });
+  const { link } = options;
   let asOf: number | undefined;
   while (!options.signal.aborted) {
+    link.noteCall(asOf === undefined ? 0 : WAIT_MS);
     if (asOf === undefined) {
       const list = await store.listRunners({ timeoutMs: TIMEOUT_MS });
       if (list.ok) {
--- a/packages/gateway/src/views/runner_directory.ts
+++ b/packages/gateway/src/views/runner_directory.ts
@@ -10,7 +10,7 @@
 const GONE_KEPT_MS = 60_000;
 
 /** Why a runner gets no more requests. */
-type LeavingCause = "listed" | "removed" | "answer" | "peer";
+type LeavingCause = "listed" | "removed" | "answer" | "peer" | "report";
 
 /**
  * Runners by service, and which of them leave. Leaving is never taken back
--- a/packages/gateway/src/views/store_link.ts
+++ b/packages/gateway/src/views/store_link.ts
@@ -3,6 +3,8 @@
 
 /** An interruption shorter than this is a connection that was renewed. */
 const OUTAGE_MS = 1_000;
+/** An answer that is later than its wait by this much is not coming. */
+const OVERDUE_MS = 300;
 
 /** Whether one kind of read from the store works, and since when not. */
 export class StoreLink {
@@ -11,6 +13,7 @@
   readonly #onRegained: () => void;
   #failingSinceMs: number | undefined;
   #failures = 0;
+  #dueAtMs = Number.POSITIVE_INFINITY;
 
   constructor(
     name: string,
@@ -26,6 +29,16 @@
     return this.#failures;
   }
 
+  /** False while calls fail, and once one is overdue. */
+  get isAnswering(): boolean {
+    return this.#failingSinceMs === undefined && monotonicMs() < this.#dueAtMs;
+  }
+
+  /** Notes that a call is made, which the store may keep waiting. */
+  noteCall(waitMs: number): void {
+    this.#dueAtMs = monotonicMs() + waitMs + OVERDUE_MS;
+  }
+
   noteFailure(reason: string): void {
     this.#failures += 1;
     if (this.#failingSinceMs !== undefined) return;
@@ -34,6 +47,7 @@
   }
 
   noteSuccess(): void {
+    this.#dueAtMs = Number.POSITIVE_INFINITY;
     if (this.#failingSinceMs === undefined) return;
     const outageMs = monotonicMs() - this.#failingSinceMs;
     const failures = this.#failures;
