Sample members in digests; let heard peers stand for their region

Cause: a digest carried all members, so that its size grew with the fleet (90 instances: 4 KB in each of some 12 digests a second), and an instance knew only the load that the peers it had just spoken to had placed, a quarter of a fleet of 90. Ruled out: passing all instances' loads on, which grows with the square. Change: 16 members a digest, another sample each time; the most instances ever known are told as well, so that a fresh instance takes the right share of the retry slack; load by region is scaled by peers there / peers heard. Tests: 120 rosters know each other after 16 rounds of 3 calls; 10 of 30 peers stand for all. Below 17 instances nothing changes.

--- a/packages/coordination/src/gossip_extension.ts
+++ b/packages/coordination/src/gossip_extension.ts
@@ -10,6 +10,7 @@
 export interface GossipExtension {
   describe(): {
     readonly confirmedAgeMs?: number;
+    readonly knownInstances: number;
     readonly members: MessageInitShape<typeof MemberSchema>[];
     readonly runnerShares: MessageInitShape<typeof RunnerShareSchema>[];
   };
--- a/packages/gateway/src/__tests__/views.test.ts
+++ b/packages/gateway/src/__tests__/views.test.ts
@@ -63,7 +63,7 @@
 });
 
 test("load is what was placed here and what peers say, until released", () => {
-  const book = new LoadBook();
+  const book = new LoadBook(() => new Map([["r1", 1]]));
   const work = {
     promptTokens: 1_000,
     maxOutputTokens: 400,
@@ -71,10 +71,12 @@
   };
   const placement = new Placement("a", work);
   book.place(placement);
-  book.notePeer(
-    "peer",
-    new Map([["a", { requests: 2, peakTokens: 500, unreadTokens: 0 }]]),
-  );
+  book.notePeer("peer", {
+    region: "r1",
+    byRunner: new Map([
+      ["a", { requests: 2, peakTokens: 500, unreadTokens: 0 }],
+    ]),
+  });
   assert.equal(book.find("a"), {
     requests: 3,
     peakTokens: 1_700,
@@ -87,6 +89,61 @@
   assert.is(book.find("a").requests, 2);
 });
 
+test("peers that are heard of stand for the others of their region", () => {
+  const counts = new Map([
+    ["r1", 30],
+    ["r2", 20],
+  ]);
+  const book = new LoadBook(() => counts);
+  const share = { requests: 1, peakTokens: 100, unreadTokens: 10 };
+  for (let n = 0; n < 10; n += 1) {
+    const byRunner = new Map(n % 2 === 0 ? [["a", share]] : []);
+    book.notePeer(`r1-${n}`, { region: "r1", byRunner });
+  }
+  for (let n = 0; n < 4; n += 1) {
+    book.notePeer(`r2-${n}`, { region: "r2", byRunner: new Map() });
+  }
+  // Five of ten peers have a request there, so that 15 of 30 will.
+  assert.is(Math.round(book.find("a").requests), 15);
+  assert.is(Math.round(book.find("a").peakTokens), 1_500);
+  assert.is(book.find("b").requests, 0);
+});
+
+test("samples of the members reach every instance of a large fleet", () => {
+  const size = 120;
+  const addresses = Array.from({ length: size }, (_, n) => `10.0.0.${n}:1`);
+  const seeds = addresses.slice(0, 3);
+  const rosters = addresses.map((own) => new PeerRoster(own, seeds));
+  const place = { region: "r1", availabilityZone: "r1-a" };
+  const tell = (from: number, to: number) => {
+    const roster = rosters[to];
+    const address = addresses[from] ?? "";
+    roster?.note({ address, ...place, ageMs: 0 });
+    const members = rosters[from]?.sampleFresh() ?? [];
+    assert.ok(members.length <= 16, "a digest has a bounded size");
+    for (const member of members) roster?.note(member);
+    roster?.noteKnownInstances(rosters[from]?.mostInstances ?? 0);
+  };
+  for (let round = 0; round < 16; round += 1) {
+    rosters.forEach((roster, own) => {
+      const known = roster.listInstances();
+      for (let call = 0; call < 3; call += 1) {
+        const pick = Math.floor(Math.random() * known.length);
+        const peer = addresses.indexOf(known[pick]?.instanceId ?? "");
+        tell(own, peer);
+        tell(peer, own);
+      }
+    });
+  }
+  for (const roster of rosters) {
+    assert.is(roster.listInstances().length, size - 1);
+    assert.is(roster.mostInstances, size);
+  }
+  const late = new PeerRoster("10.0.1.1:1", seeds);
+  late.noteKnownInstances(rosters[0]?.mostInstances ?? 0);
+  assert.is(late.mostInstances, size, "a fresh instance is told the size");
+});
+
 test("a failing runner's score fades, so that it comes back", async () => {
   const scores = new OutlierScores();
   for (let n = 0; n < 5; n += 1) scores.note("a", true);
--- /dev/null
+++ b/packages/gateway/src/decisions/scale_load.ts
@@ -0,0 +1,10 @@
+import type { RunnerLoad } from "../model/runner_load.js";
+
+/** Returns a load times a factor. */
+export function scaleLoad(load: RunnerLoad, factor: number): RunnerLoad {
+  return {
+    requests: load.requests * factor,
+    peakTokens: load.peakTokens * factor,
+    unreadTokens: load.unreadTokens * factor,
+  };
+}
--- a/packages/gateway/src/mesh/create_gossip_extension.ts
+++ b/packages/gateway/src/mesh/create_gossip_extension.ts
@@ -22,10 +22,13 @@
         ...(ageMs < CONFIRMATION_TOLD_MS
           ? { confirmedAgeMs: Math.ceil(ageMs) }
           : {}),
-        members: roster.listFresh().map(({ ageMs: heardAgeMs, ...member }) => ({
-          ...member,
-          heardAgeMs: Math.round(heardAgeMs),
-        })),
+        knownInstances: roster.mostInstances,
+        members: roster
+          .sampleFresh()
+          .map(({ ageMs: heardAgeMs, ...member }) => ({
+            ...member,
+            heardAgeMs: Math.round(heardAgeMs),
+          })),
         runnerShares: [...loads.listOwn()].map(([runnerId, load]) => ({
           runnerId,
           requests: load.requests,
@@ -39,18 +42,19 @@
       if (!sender) return;
       const address = sender.instanceId;
       roster.note({ address, region, availabilityZone, ageMs: 0 });
+      roster.noteKnownInstances(digest.knownInstances);
       for (const member of digest.members) {
         roster.note({ ...member, ageMs: member.heardAgeMs });
       }
-      loads.notePeer(
-        address,
-        new Map(
+      loads.notePeer(address, {
+        region,
+        byRunner: new Map(
           digest.runnerShares.map(({ runnerId, ...share }) => [
             runnerId,
             share,
           ]),
         ),
-      );
+      });
       for (const lifeId of digest.leavingRunners) {
         directory.noteLeaving(lifeId, "peer");
       }
--- a/packages/gateway/src/mesh/peer_roster.ts
+++ b/packages/gateway/src/mesh/peer_roster.ts
@@ -6,6 +6,12 @@
 /** Members of this age and less are told to others. */
 const TELL_MS = 5_000;
 
+/**
+ * Members in one digest. With ten digests a second 390 members are heard of
+ * every three seconds, well within the time after which they are forgotten.
+ */
+const MEMBERS_TOLD = 16;
+
 interface Member {
   readonly address: string;
   readonly region: string;
@@ -22,15 +28,21 @@
   readonly #seeds: readonly string[];
   readonly #members = new Map<string, Member>();
   #mostMembers = 0;
+  #mostHeardOf = 0;
 
   constructor(ownAddress: string, seeds: readonly string[]) {
     this.#ownAddress = ownAddress;
     this.#seeds = seeds.filter((seed) => seed !== ownAddress);
   }
 
-  /** The most instances known at once, with this one. */
+  /** The most instances that anybody knew of at once, with this one. */
   get mostInstances(): number {
-    return this.#mostMembers + 1;
+    return Math.max(this.#mostMembers + 1, this.#mostHeardOf);
+  }
+
+  /** Takes a peer's word of how many instances there are. */
+  noteKnownInstances(count: number): void {
+    this.#mostHeardOf = Math.max(this.#mostHeardOf, count);
   }
 
   note(member: {
@@ -53,8 +65,32 @@
     this.#mostMembers = Math.max(this.#mostMembers, this.#members.size);
   }
 
-  /** Members heard of lately, for peers. */
-  listFresh(): readonly (Omit<Member, "heardAtMs"> & {
+  /** Peers of each region that were heard of lately. */
+  countByRegion(): ReadonlyMap<string, number> {
+    const counts = new Map<string, number>();
+    for (const { region } of this.#listFresh()) {
+      counts.set(region, (counts.get(region) ?? 0) + 1);
+    }
+    return counts;
+  }
+
+  /**
+   * Some of the members heard of lately, for peers. A sample keeps digests
+   * small, and as each is another one, all members reach everybody.
+   */
+  sampleFresh(): readonly (Omit<Member, "heardAtMs"> & {
+    readonly ageMs: number;
+  })[] {
+    const fresh = this.#listFresh();
+    if (fresh.length <= MEMBERS_TOLD) return fresh;
+    const first = Math.floor(Math.random() * fresh.length);
+    return [...fresh.slice(first), ...fresh.slice(0, first)].slice(
+      0,
+      MEMBERS_TOLD,
+    );
+  }
+
+  #listFresh(): readonly (Omit<Member, "heardAtMs"> & {
     readonly ageMs: number;
   })[] {
     const nowMs = monotonicMs();
--- a/packages/gateway/src/server/gateway_instance.ts
+++ b/packages/gateway/src/server/gateway_instance.ts
@@ -83,11 +83,11 @@
     this.#droppedLogLines = parts.droppedLogLines;
     this.#config = new ConfigInForce(codec, logger);
     this.#directory = new RunnerDirectory(logger);
-    const loads = new LoadBook();
     const outliers = new OutlierScores();
     const quarantine = new Quarantine(QUARANTINE_LOSSES);
     const ownAddress = `${settings.peers.host}:${settings.peers.port}`;
     this.#roster = new PeerRoster(ownAddress, settings.seeds);
+    const loads = new LoadBook(() => this.#roster.countByRegion());
     this.#peers = new PeerDirectory((id) => this.#roster.find(id));
     this.#membership = createMembership({
       ownAddress,
