Share the faulty link, free ports and seeded random numbers

Cause: the proofs' link and the one of the peer tests were two copies, and a soak of the platform path needs the same. They move to the stand-ins; the link gains a delay and an end of its connections. No check changed.

--- a/packages/coordination/src/__tests__/peer_directory.test.ts
+++ b/packages/coordination/src/__tests__/peer_directory.test.ts
@@ -3,10 +3,10 @@
 import process from "node:process";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
+import { Link } from "@jujubeladder/standins";
 import { sleep } from "@jujubeladder/utils";
 import { PeerDirectory } from "../peer_directory.js";
 import { servePeers } from "../serve_peers.js";
-import { PeerLink } from "./harness/peer_link.js";
 
 /** Bound on one call, as gossip has it. */
 const CALL_MS = 1_500;
@@ -17,7 +17,7 @@
 const STALE_MS = 1_200;
 
 interface Context {
-  readonly link: PeerLink;
+  readonly link: Link;
   readonly server: Http2Server;
   readonly directory: PeerDirectory;
   call(): Promise<"answered" | "failed">;
@@ -36,8 +36,8 @@
     },
     { host: "127.0.0.1", port: 0 },
   );
-  const link = new PeerLink((server.address() as AddressInfo).port);
-  await link.open();
+  const link = new Link((server.address() as AddressInfo).port);
+  await link.start();
   const directory = new PeerDirectory((instanceId) => ({
     instanceId,
     host: "127.0.0.1",
@@ -63,7 +63,7 @@
       ),
     close: () => {
       directory.close();
-      link.close();
+      link.stop();
       server.close();
     },
   };
@@ -73,11 +73,11 @@
   const context = await createContext();
   try {
     assert.is(await context.call(), "answered");
-    context.link.silence();
+    context.link.setMode("cut");
     await sleep(STALE_MS);
     assert.is(await context.call(), "failed");
     // New connections work, while the old one stays silent for good.
-    context.link.restore();
+    context.link.setMode("open");
     await sleep(STALE_MS);
     assert.is(await context.call(), "answered");
     await sleep(STALE_MS);
@@ -91,11 +91,11 @@
   const context = await createContext();
   try {
     assert.is(await context.call(), "answered");
-    context.link.silence();
+    context.link.setMode("cut");
     await sleep(STALE_MS);
     const probing = context.call();
     await sleep(200);
-    context.link.restore();
+    context.link.setMode("open");
     context.link.endAll("end");
     await probing;
     for (let round = 0; round < 2; round += 1) {
@@ -111,7 +111,7 @@
   const context = await createContext();
   try {
     assert.is(await context.call(), "answered");
-    context.link.silence();
+    context.link.setMode("cut");
     const startedAtMs = Date.now();
     assert.is(await context.longCall(), "failed");
     assert.ok(Date.now() - startedAtMs < 2 * FOUND_DEAD_MS);
@@ -127,10 +127,10 @@
   process.on("uncaughtException", note);
   try {
     assert.is(await context.call(), "answered");
-    context.link.silence();
+    context.link.setMode("cut");
     void context.longCall();
     await sleep(FOUND_DEAD_MS);
-    context.link.restore();
+    context.link.setMode("open");
     assert.is(await context.call(), "answered");
     context.link.endAll("reset");
     await sleep(100);
--- a/packages/proofs/src/__tests__/harness/fleet.ts
+++ b/packages/proofs/src/__tests__/harness/fleet.ts
@@ -1,3 +1,4 @@
+import { Link, findFreePort, type LinkMode } from "@jujubeladder/standins";
 import { mkdirSync, mkdtempSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
@@ -11,10 +12,7 @@
 } from "@jujubeladder/types";
 import { Child } from "./child.js";
 import { createConfig } from "./create_config.js";
-import { findFreePort } from "./find_free_port.js";
 import type { FleetOptions } from "./fleet_options.js";
-import { Link } from "./link.js";
-import type { LinkMode } from "./link_mode.js";
 import { waitUntil } from "./wait_until.js";
 
 const ENTRY_MAIN = resolvePackage("jujubeladder");
--- a/packages/proofs/src/__tests__/replay/trace_act.ts
+++ b/packages/proofs/src/__tests__/replay/trace_act.ts
@@ -1,5 +1,5 @@
+import { type LinkMode } from "@jujubeladder/standins";
 import type { ConfigDocument } from "@jujubeladder/types";
-import type { LinkMode } from "../harness/link_mode.js";
 
 /** A name, several, or all (`*`) of the processes of a kind. */
 type Names = string | readonly string[];
--- a/packages/proofs/src/measure/measure_decision_cost.ts
+++ b/packages/proofs/src/measure/measure_decision_cost.ts
@@ -1,6 +1,6 @@
+import { createSeededRandom } from "@jujubeladder/standins";
 import { monotonicMs } from "@jujubeladder/utils";
 import { Scheduler, type SchedulingRequest } from "@jujubeladder/scheduling";
-import { createSeededRandom } from "./create_seeded_random.js";
 
 const RUNNER_COUNTS = [16, 200, 1_000];
 const DECISIONS = 3_000;
--- a/packages/proofs/src/measure/record_arrivals.ts
+++ b/packages/proofs/src/measure/record_arrivals.ts
@@ -1,5 +1,5 @@
+import { createSeededRandom } from "@jujubeladder/standins";
 import type { Arrival } from "./arrival.js";
-import { createSeededRandom } from "./create_seeded_random.js";
 import type { Deployment } from "./deployment.js";
 
 const DURATION_MS = 90_000;
--- a/packages/proofs/src/__tests__/harness/link.ts
+++ b/packages/standins/src/link.ts
@@ -17,6 +17,7 @@
   #mode: LinkMode = "open";
   #port = 0;
   #bytes = 0;
+  #delayMs = 0;
 
   constructor(targetPort: number) {
     this.#targetPort = targetPort;
@@ -57,6 +58,20 @@
     }
   }
 
+  /** Holds what the far end sends back by this time from now on. */
+  setDelay(delayMs: number): void {
+    this.#delayMs = delayMs;
+  }
+
+  /** Ends the connections that exist, in the regular way or by a reset. */
+  endAll(how: "end" | "reset"): void {
+    for (const { near, far } of this.#pairs) {
+      if (how === "end") near.end();
+      else near.resetAndDestroy();
+      far.destroy();
+    }
+  }
+
   stop(): void {
     this.#server?.close();
     for (const pair of this.#pairs) {
@@ -82,12 +97,14 @@
       near.resetAndDestroy();
     });
     near.on("close", close);
-    far.on("close", close);
+    far.on("close", () => {
+      this.#afterDelay(close);
+    });
     near.on("end", () => {
       far.end();
     });
     far.on("end", () => {
-      near.end();
+      this.#afterDelay(() => near.end());
     });
     near.on("data", (bytes: Buffer) => {
       this.#bytes += bytes.length;
@@ -95,11 +112,18 @@
     });
     far.on("data", (bytes: Buffer) => {
       this.#bytes += bytes.length;
-      if (!pair.isDead && this.#mode !== "deaf") near.write(bytes);
+      if (pair.isDead || this.#mode === "deaf") return;
+      this.#afterDelay(() => near.write(bytes));
     });
     this.#apply(pair);
   }
 
+  // A constant delay keeps the order of what was sent.
+  #afterDelay(act: () => void): void {
+    if (this.#delayMs === 0) act();
+    else setTimeout(act, this.#delayMs);
+  }
+
   #apply(pair: Pair): void {
     const isHeld = this.#mode === "stalled" && !pair.isDead;
     for (const socket of [pair.near, pair.far]) {
--- a/packages/standins/src/mod.ts
+++ b/packages/standins/src/mod.ts
@@ -1,6 +1,7 @@
 /** Small stand-ins of the platform, engines and plain services. */
 export type { CacheEvent } from "./cache_event.js";
 export { chooseOutputTokens } from "./choose_output_tokens.js";
+export { createSeededRandom } from "./create_seeded_random.js";
 export { DEFAULT_ENGINE_OPTIONS } from "./default_engine_options.js";
 export { EngineModel } from "./engine_model.js";
 export type { EngineModelStream } from "./engine_model_stream.js";
@@ -8,8 +9,11 @@
 export { EngineOrders } from "./engine_orders.js";
 export { EngineServer } from "./engine_server.js";
 export type { EngineStep } from "./engine_step.js";
+export { findFreePort } from "./find_free_port.js";
 export { Generation } from "./generation.js";
 export type { GenerationTruth } from "./generation_truth.js";
+export { Link } from "./link.js";
+export type { LinkMode } from "./link_mode.js";
 export { listen } from "./listen.js";
 export type { PlainRun } from "./plain_run.js";
 export { PlainServer } from "./plain_server.js";
