Let a few instances of a region read the store for the others

Ruled out: gossip alone, half a second a round is too slow for a notice of two; see docs/design/configuration.md. Change: one instance for sixteen of a region reads the store; the others ask it by long polls, told by the age of its reads whether it still can, and read by themselves when not. Tests: relay_choice (readers, and their replacement), relays on loopback (one reads and all follow; its store link cut or refused, itself gone, a runner that leaves), 3 and 5 of them.

--- a/packages/coordination/src/create_peer_service.ts
+++ b/packages/coordination/src/create_peer_service.ts
@@ -28,7 +28,7 @@
 /** Answers the calls of peers. */
 export function createPeerService(
   parts: PeerServiceParts,
-): ServiceImpl<typeof PeerService> {
+): Partial<ServiceImpl<typeof PeerService>> {
   const { incarnations, witness } = parts;
 
   // The client of whoever answers for a witness that has left from here.
--- /dev/null
+++ b/packages/gateway/src/mesh/encode_runner_entries.ts
@@ -0,0 +1,31 @@
+import type { MessageInitShape } from "@bufbuild/protobuf";
+import type { RunnerEntrySchema } from "@jujubeladder/protocol";
+import { monotonicMs } from "@jujubeladder/utils";
+import type { GatewayRunner } from "../model/gateway_runner.js";
+import type { RelayedRunners } from "../model/relayed_runners.js";
+
+type Entry = MessageInitShape<typeof RunnerEntrySchema>;
+
+/** Encodes a list of runners, or its changes, for a peer. */
+export function encodeRunnerEntries(known: RelayedRunners): Entry[] {
+  switch (known.type) {
+    case "list":
+      return known.runners.map(encodeRunner);
+    case "changes":
+      return known.changes.map((change) =>
+        change.type === "put"
+          ? encodeRunner(change.runner)
+          : { runnerId: change.runnerId, isRemoved: true },
+      );
+  }
+}
+
+function encodeRunner(runner: GatewayRunner): Entry {
+  const { startedAtMs, warmAtMs, state, ...same } = runner;
+  return {
+    ...same,
+    isLeaving: state === "leaving",
+    startedAtMs: BigInt(startedAtMs),
+    coldLeftMs: Math.max(0, Math.round(warmAtMs - monotonicMs())),
+  };
+}
--- a/packages/gateway/src/server/gateway_instance.ts
+++ b/packages/gateway/src/server/gateway_instance.ts
@@ -11,9 +11,12 @@
 import { monotonicMs, sleep } from "@jujubeladder/utils";
 import { LoadBook } from "../decisions/load_book.js";
 import { OutlierScores } from "../decisions/outlier_scores.js";
+import { RelayChoice } from "../decisions/relay_choice.js";
 import { RetryAllowance } from "../decisions/retry_allowance.js";
 import { createMembership } from "../mesh/create_membership.js";
 import { PeerRoster } from "../mesh/peer_roster.js";
+import { RelayFinder } from "../mesh/relay_finder.js";
+import { serveViews } from "../mesh/serve_views.js";
 import type { EngineControl } from "../model/engine_control.js";
 import type { GatewayCodec } from "../model/gateway_codec.js";
 import type { MetadataStore } from "../model/metadata_store.js";
@@ -27,6 +30,7 @@
 import { followConfig } from "../views/follow_config.js";
 import { followRunners } from "../views/follow_runners.js";
 import { RunnerDirectory } from "../views/runner_directory.js";
+import { RunnerMirror } from "../views/runner_mirror.js";
 import { StoreLink } from "../views/store_link.js";
 import { CallerServer } from "./caller_server.js";
 import type { GatewaySettings } from "./gateway_settings.js";
@@ -58,6 +62,8 @@
   readonly #peers: PeerDirectory;
   readonly #callers: CallerServer;
   readonly #scout: LeavingScout;
+  readonly #relays: RelayFinder;
+  readonly #mirror = new RunnerMirror();
   readonly #configLink: StoreLink;
   readonly #runnersLink: StoreLink;
   readonly #store: MetadataStore;
@@ -89,6 +95,14 @@
     this.#roster = new PeerRoster(ownAddress, settings.seeds);
     const loads = new LoadBook(() => this.#roster.countByRegion());
     this.#peers = new PeerDirectory((id) => this.#roster.find(id));
+    this.#relays = new RelayFinder({
+      choice: new RelayChoice(
+        { instanceId: ownAddress, region: settings.region },
+        () => this.#roster.listInstances(),
+      ),
+      peers: this.#peers,
+      logger,
+    });
     this.#membership = createMembership({
       ownAddress,
       settings,
@@ -180,13 +194,17 @@
       settings: this.#settings,
       signal: this.#stopping.signal,
     };
-    void followConfig(this.#store, this.#config, {
+    const following = { store: this.#store, relays: this.#relays, signal };
+    void followConfig({
+      ...following,
+      view: this.#config,
       link: this.#configLink,
-      signal,
     });
-    void followRunners(this.#store, this.#directory, {
+    void followRunners({
+      ...following,
+      directory: this.#directory,
+      mirror: this.#mirror,
       link: this.#runnersLink,
-      signal,
     });
     void this.#scout.run(signal);
     const { readiness, metrics } = settings;
@@ -209,6 +227,12 @@
         {
           gossip: ({ digest }) =>
             digest ? { digest: this.#membership.answer(digest) } : {},
+          ...serveViews({
+            config: this.#config,
+            configLink: this.#configLink,
+            mirror: this.#mirror,
+            runnersLink: this.#runnersLink,
+          }),
           fetchDocument: ({ leastRevision }) => {
             const { version, text } = this.#config;
             const isWanted = version >= Number(leastRevision);
--- a/packages/gateway/src/views/config_in_force.ts
+++ b/packages/gateway/src/views/config_in_force.ts
@@ -11,6 +11,7 @@
 import type { GatewayConfig } from "../model/gateway_config.js";
 import type { GatewayTeam } from "../model/gateway_team.js";
 import type { RoutedService } from "../model/routed_service.js";
+import { ChangeSignal } from "./change_signal.js";
 import type { ConfigSource } from "./config_source.js";
 
 interface Accepted {
@@ -27,6 +28,7 @@
  * when it was last known to be the newest.
  */
 export class ConfigInForce {
+  readonly #changed = new ChangeSignal();
   readonly events = new Emittery<{ changed: GatewayConfig }>();
   readonly #codec: GatewayCodec;
   readonly #logger: Logger;
@@ -67,6 +69,15 @@
       : Number.POSITIVE_INFINITY;
   }
 
+  /** Waits for a version above the given one while `mayWait` holds. */
+  async waitBeyond(
+    version: number,
+    options: { readonly waitMs: number; readonly mayWait: () => boolean },
+  ): Promise<void> {
+    const isOver = () => this.version > version || !options.mayWait();
+    await this.#changed.waitUntil(isOver, options.waitMs);
+  }
+
   findTeam(apiKey: string): GatewayTeam | undefined {
     return this.#accepted?.teamsByKey.get(apiKey);
   }
@@ -105,6 +116,7 @@
       routes: config.routes.length,
       teams: config.teams.length,
     });
+    this.#changed.notify();
     void this.events.emit("changed", config);
     return true;
   }
--- a/packages/gateway/src/views/follow_config.ts
+++ b/packages/gateway/src/views/follow_config.ts
@@ -1,48 +1,104 @@
 import { readClocks, sleep } from "@jujubeladder/utils";
 import type { MetadataStore } from "../model/metadata_store.js";
+import type { ViewRelay } from "../model/view_relay.js";
 import { computeStoreBackoffMs } from "./compute_store_backoff_ms.js";
 import type { ConfigInForce } from "./config_in_force.js";
+import type { RelaySource } from "./relay_source.js";
 import type { StoreLink } from "./store_link.js";
 
-/** Each answer also confirms the version, so the wait bounds its age. */
-const WAIT_MS = 1_000;
+/**
+ * Each answer also confirms the version, so the wait bounds the proof's age:
+ * four waits where a peer reads, which is well below what keys may rest on.
+ */
+const WAIT_MS = 700;
 /** Finds connections that have gone silent. */
 const TIMEOUT_MS = 1_200;
 
-/** Keeps the configuration in force as new as the store has it. */
-export async function followConfig(
-  store: MetadataStore,
-  view: ConfigInForce,
-  options: { readonly link: StoreLink; readonly signal: AbortSignal },
-): Promise<void> {
-  const { link } = options;
-  let asOf: number | undefined;
-  // False while the newest configuration is one that was refused.
-  let isNewest = false;
-  while (!options.signal.aborted) {
-    const sentAt = readClocks();
-    link.noteCall(asOf === undefined ? 0 : WAIT_MS);
-    const answer = await readNext(store, asOf);
-    if (!answer.ok) {
-      link.noteFailure(answer.error);
-      asOf = undefined;
-      await sleep(computeStoreBackoffMs(link.failures), options.signal);
-      continue;
-    }
-    link.noteSuccess();
-    const { value } = answer;
-    if (value.type === "history_lost") {
-      asOf = undefined;
-      continue;
-    }
-    if (value.type === "changed") {
-      isNewest = view.offer(value.value, "store") || view.text === value.value;
-    }
-    asOf = value.asOf;
-    if (isNewest) view.confirm(sentAt);
-    if (view.version > 0) continue;
-    await sleep(computeStoreBackoffMs(0), options.signal);
+/** What following works with. */
+interface ConfigFollowing {
+  readonly store: MetadataStore;
+  readonly view: ConfigInForce;
+  readonly relays: RelaySource;
+  readonly link: StoreLink;
+  readonly signal: AbortSignal;
+}
+
+/** Where the watch of the store stands. */
+interface Position {
+  readonly asOf: number | undefined;
+  /** False while the newest configuration is one that was refused. */
+  readonly isNewest: boolean;
+}
+
+const START: Position = { asOf: undefined, isNewest: false };
+
+/**
+ * Keeps the configuration in force as new as the store has it. A peer that
+ * reads the store says when there is a newer one, which is then read there,
+ * since a document for each peer would fill the reader's link.
+ */
+export async function followConfig(parts: ConfigFollowing): Promise<void> {
+  const { relays, view, signal } = parts;
+  let position = START;
+  while (!signal.aborted) {
+    const relay = view.version > 0 ? relays.find() : undefined;
+    if (relay && (await isNewestByRelay(parts, relay))) {
+      position = START;
+    } else position = await followStore(parts, position);
+  }
+}
+
+// False when the store must be read: the peer knows a newer version, or is of
+// no use.
+async function isNewestByRelay(
+  { relays, link, view }: ConfigFollowing,
+  relay: ViewRelay,
+): Promise<boolean> {
+  const { version } = view;
+  const sentAt = readClocks();
+  const answer = await relay.watchConfig({ version, waitMs: WAIT_MS });
+  if (!answer.ok) {
+    relays.noteFailure(relay, answer.error);
+    return false;
+  }
+  const { version: theirs, ageMs } = answer.value;
+  if (theirs < view.version) {
+    relays.noteFailure(relay, `the peer has version ${theirs} only`);
+    return false;
+  }
+  link.noteSuccess();
+  if (theirs > view.version) return false;
+  view.confirm({
+    monotonicMs: sentAt.monotonicMs - ageMs,
+    wallMs: sentAt.wallMs - ageMs,
+  });
+  return true;
+}
+
+async function followStore(
+  { store, view, link, signal }: ConfigFollowing,
+  { asOf, isNewest: wasNewest }: Position,
+): Promise<Position> {
+  const sentAt = readClocks();
+  link.noteCall(asOf === undefined ? 0 : WAIT_MS);
+  const answer = await readNext(store, asOf);
+  if (!answer.ok) {
+    link.noteFailure(answer.error);
+    await sleep(computeStoreBackoffMs(link.failures), signal);
+    return { asOf: undefined, isNewest: wasNewest };
+  }
+  link.noteSuccess();
+  const { value } = answer;
+  if (value.type === "history_lost") {
+    return { asOf: undefined, isNewest: wasNewest };
   }
+  const isNewest =
+    value.type === "changed"
+      ? view.offer(value.value, "store") || view.text === value.value
+      : wasNewest;
+  if (isNewest) view.confirm(sentAt);
+  if (view.version === 0) await sleep(computeStoreBackoffMs(0), signal);
+  return { asOf: value.asOf, isNewest };
 }
 
 async function readNext(store: MetadataStore, asOf: number | undefined) {
