--- a/packages/coordination/src/membership.ts
+++ b/packages/coordination/src/membership.ts
@@ -11,13 +11,13 @@
   sleep,
   type ClockReading,
 } from "@jujubeladder/utils";
+import type { GossipPace } from "./gossip_pace.js";
 import type { GossipState } from "./gossip_state.js";
 import type { PeerDirectory } from "./peer_directory.js";
 import type { PeerState } from "./peer_state.js";
 
-const DEFAULT_INTERVAL_MS = 500;
+const DEFAULT_PACE: GossipPace = { intervalMs: 500, nearFanout: 2 };
 const NEIGHBOURS = 8;
-const NEAR_FANOUT = 2;
 const CALL_TIMEOUT_MS = 1_500;
 const ALIVE_MS = 4_000;
 const MAX_SUSPICIONS_SENT = 32;
@@ -33,7 +33,7 @@
   readonly #directory: PeerDirectory;
   readonly #listInstances: () => readonly Instance[];
   readonly #logger: Logger;
-  readonly #intervalMs: number;
+  readonly #pace: () => GossipPace;
   readonly #peers = new Map<string, PeerState>();
   readonly #fetching = new Set<string>();
   #isLeaving = false;
@@ -44,14 +44,15 @@
       readonly directory: PeerDirectory;
       readonly listInstances: () => readonly Instance[];
       readonly logger: Logger;
-      readonly intervalMs?: number;
+      /** Asked before each interval, since the fleet may grow. */
+      readonly pace?: () => GossipPace;
     },
   ) {
     this.#state = state;
     this.#directory = options.directory;
     this.#listInstances = options.listInstances;
     this.#logger = options.logger;
-    this.#intervalMs = options.intervalMs ?? DEFAULT_INTERVAL_MS;
+    this.#pace = options.pace ?? (() => DEFAULT_PACE);
   }
 
   get isLeaving(): boolean {
@@ -83,10 +84,11 @@
   /** Exchanges digests until the signal aborts. */
   async run(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
-      for (const instanceId of this.#pickTargets()) {
+      const { intervalMs, nearFanout } = this.#pace();
+      for (const instanceId of this.#pickTargets(nearFanout)) {
         void this.#exchange(instanceId);
       }
-      await sleep(this.#intervalMs * (0.75 + Math.random() / 2), signal);
+      await sleep(intervalMs * (0.75 + Math.random() / 2), signal);
     }
   }
 
@@ -217,9 +219,9 @@
     }
   }
 
-  #pickTargets(): readonly string[] {
+  #pickTargets(nearFanout: number): readonly string[] {
     const neighbours = [...this.#rankNeighbours().slice(0, NEIGHBOURS)];
-    const near = shuffle(neighbours).slice(0, NEAR_FANOUT);
+    const near = shuffle(neighbours).slice(0, nearFanout);
     const all = this.#listPeers().map((peer) => peer.instanceId);
     const far = all[Math.floor(Math.random() * all.length)];
     return [...new Set(far === undefined ? near : [...near, far])];
--- a/packages/coordination/src/mod.ts
+++ b/packages/coordination/src/mod.ts
@@ -2,6 +2,7 @@
 export type { GossipExtension } from "./gossip_extension.js";
 export { createPeerService } from "./create_peer_service.js";
 export { DEFAULT_TICKET_LIMITS } from "./default_ticket_limits.js";
+export type { GossipPace } from "./gossip_pace.js";
 export type { GossipState } from "./gossip_state.js";
 export { Handover } from "./handover.js";
 export { isTargetMet } from "./is_target_met.js";
--- a/packages/gateway/src/decisions/load_book.ts
+++ b/packages/gateway/src/decisions/load_book.ts
@@ -6,7 +6,7 @@
 import { scaleLoad } from "./scale_load.js";
 
 /** Word of a peer that is older than this says nothing any more. */
-const PEER_LOAD_KEPT_MS = 3_000;
+const PEER_LOAD_KEPT_MS = 4_000;
 /** Peers' word is half a gossip interval old when it comes. */
 const TOTALS_KEPT_MS = 50;
 
--- a/packages/gateway/src/mesh/create_membership.ts
+++ b/packages/gateway/src/mesh/create_membership.ts
@@ -2,12 +2,14 @@
   LeavingRunners,
   Membership,
   Successions,
+  type GossipPace,
   type PeerDirectory,
   type Quarantine,
 } from "@jujubeladder/coordination";
 import type { Logger } from "@jujubeladder/logger";
 import { createId } from "@jujubeladder/utils";
 import type { LoadBook } from "../decisions/load_book.js";
+import { SMALL_FLEET } from "../decisions/small_fleet.js";
 import { toLifeId } from "../model/to_life_id.js";
 import type { ConfigInForce } from "../views/config_in_force.js";
 import type { RunnerDirectory } from "../views/runner_directory.js";
@@ -15,7 +17,12 @@
 import type { PeerRoster } from "./peer_roster.js";
 
 /** Instances swap loads this often; engines report with a similar lag. */
-const GOSSIP_INTERVAL_MS = 500;
+const SMALL_FLEET_PACE: GossipPace = { intervalMs: 500, nearFanout: 2 };
+/**
+ * A call costs each side one to two milliseconds of processor time. News that
+ * can't wait comes by the readers of the store here.
+ */
+const LARGE_FLEET_PACE: GossipPace = { intervalMs: 1_000, nearFanout: 1 };
 /** Nothing succeeds itself here; handovers are not part of the gateway. */
 const SUCCESSION_KEPT_MS = 1_000;
 
@@ -59,7 +66,10 @@
       directory: parts.peers,
       listInstances: () => roster.listInstances(),
       logger,
-      intervalMs: GOSSIP_INTERVAL_MS,
+      pace: () =>
+        roster.mostInstances > SMALL_FLEET
+          ? LARGE_FLEET_PACE
+          : SMALL_FLEET_PACE,
     },
   );
 }
--- a/packages/gateway/src/relay/placement_desk.ts
+++ b/packages/gateway/src/relay/placement_desk.ts
@@ -5,6 +5,7 @@
 import type { OutlierScores } from "../decisions/outlier_scores.js";
 import { Placement } from "../decisions/placement.js";
 import type { PlacementChoice } from "../decisions/placement_choice.js";
+import { SMALL_FLEET } from "../decisions/small_fleet.js";
 import type { RunnerCandidate } from "../decisions/runner_candidate.js";
 import type { RoutedService } from "../model/routed_service.js";
 import type { GenerationWork } from "../model/generation_work.js";
@@ -14,9 +15,6 @@
 /** How often waiting requests are offered places without an event. */
 const OFFER_INTERVAL_MS = 25;
 
-/** Up to this many instances hear of each other's placements in time. */
-const FULLY_KNOWN_FLEET = 16;
-
 /** What a request needs of a runner. */
 interface PlacementNeed {
   readonly service: RoutedService;
@@ -75,7 +73,7 @@
 
   /** Chooses a place now. */
   choose(need: PlacementNeed): PlacementChoice {
-    const isLargeFleet = this.#countInstances() > FULLY_KNOWN_FLEET;
+    const isLargeFleet = this.#countInstances() > SMALL_FLEET;
     return chooseRunner(this.listCandidates(need), {
       ...this.#place,
       random: isLargeFleet ? Math.random() : undefined,
