--- a/packages/jujubeladder/src/commands/run_demo.ts
+++ b/packages/jujubeladder/src/commands/run_demo.ts
@@ -17,7 +17,8 @@
   readonly once: boolean;
 }): Promise<void> {
   const peerPort = await findPort(0);
-  const callerPort = await findPort(PREFERRED_CALLER_PORT);
+  // Two demos may look at the same moment; only one that stays is called.
+  const callerPort = await findPort(options.once ? 0 : PREFERRED_CALLER_PORT);
   const adminPort = await findPort(0);
   const standins = new DemoStandins();
   const instanceId = "entry-1";
