Let an instance that can't read the store ask its peers

Where it was the one with the store, the other now got its runners from it and was ready, which the test held to be impossible. Where it was the cut-off one, that went on reading by itself in vain, and knew no runner. Ruled out: load; it follows from the ports. Change: an own failure passes this instance by as a reader too, so that it asks its peers, and itself again when none can tell.

--- a/packages/gateway/src/__tests__/relay_choice.test.ts
+++ b/packages/gateway/src/__tests__/relay_choice.test.ts
@@ -53,4 +53,21 @@
   assert.is(picks.size, 2, "one reads, the rest ask it");
 });
 
+test("a reader that can't read asks its peers, and itself when all fail", () => {
+  const fleet = FLEET.slice(0, 3);
+  const choices = createChoices(fleet);
+  const index = choices.findIndex((choice) => choice.pick() === undefined);
+  const reader = choices[index];
+  assert.ok(reader);
+  if (!reader) return;
+  reader.noteOwnFailure();
+  const first = reader.pick();
+  assert.ok(first !== undefined);
+  if (first !== undefined) reader.noteFailure(first);
+  const second = reader.pick();
+  assert.ok(second !== undefined && second !== first);
+  if (second !== undefined) reader.noteFailure(second);
+  assert.is(reader.pick(), undefined);
+});
+
 test.run();
--- a/packages/gateway/src/decisions/relay_choice.ts
+++ b/packages/gateway/src/decisions/relay_choice.ts
@@ -53,6 +53,11 @@
     this.#failedAtMs.set(instanceId, monotonicMs());
   }
 
+  /** This instance can't read the store; a peer may still be able to. */
+  noteOwnFailure(): void {
+    this.noteFailure(this.#own);
+  }
+
   #hasFailed(instanceId: string): boolean {
     const failedAtMs = this.#failedAtMs.get(instanceId);
     if (failedAtMs === undefined) return false;
--- a/packages/gateway/src/mesh/relay_finder.ts
+++ b/packages/gateway/src/mesh/relay_finder.ts
@@ -33,6 +33,10 @@
     return client && new PeerRelay(instanceId, client);
   }
 
+  noteOwnFailure(): void {
+    this.#choice.noteOwnFailure();
+  }
+
   noteFailure(relay: ViewRelay, reason: string): void {
     this.#choice.noteFailure(relay.instanceId);
     this.#logger.warn("store_reader_failed", {
--- a/packages/gateway/src/views/follow_config.ts
+++ b/packages/gateway/src/views/follow_config.ts
@@ -76,7 +76,7 @@
 }
 
 async function followStore(
-  { store, view, link, signal }: ConfigFollowing,
+  { store, view, relays, link, signal }: ConfigFollowing,
   { asOf, isNewest: wasNewest }: Position,
 ): Promise<Position> {
   const sentAt = readClocks();
@@ -84,6 +84,7 @@
   const answer = await readNext(store, asOf);
   if (!answer.ok) {
     link.noteFailure(answer.error);
+    relays.noteOwnFailure();
     await sleep(computeStoreBackoffMs(link.failures), signal);
     return { asOf: undefined, isNewest: wasNewest };
   }
--- a/packages/gateway/src/views/follow_runners.ts
+++ b/packages/gateway/src/views/follow_runners.ts
@@ -75,6 +75,7 @@
 
 async function readList({
   store,
+  relays,
   link,
   directory,
   mirror,
@@ -85,6 +86,7 @@
   const list = await store.listRunners({ timeoutMs: TIMEOUT_MS });
   if (!list.ok) {
     link.noteFailure(list.error);
+    relays.noteOwnFailure();
     await sleep(computeStoreBackoffMs(link.failures), signal);
     return undefined;
   }
@@ -96,7 +98,7 @@
 }
 
 async function watchList(
-  { store, link, directory, mirror, signal }: RunnerFollowing,
+  { store, relays, link, directory, mirror, signal }: RunnerFollowing,
   asOf: number,
 ): Promise<number | undefined> {
   const readAt = readClocks();
@@ -108,6 +110,7 @@
   });
   if (!answer.ok) {
     link.noteFailure(answer.error);
+    relays.noteOwnFailure();
     await sleep(computeStoreBackoffMs(link.failures), signal);
     return link.failures >= WATCH_TRIES ? undefined : asOf;
   }
