Log the connection of each attempt and who ended it

Cause: an attempt's line named the outcome, but not whether its connection was new, whether the request was written at all, which incarnation of the runner had it, or whether the runner or this instance ended the connection. Without these the hypotheses of the incident cannot be told apart.

No logic changes.

--- a/packages/gateway/src/relay/relay_progress.ts
+++ b/packages/gateway/src/relay/relay_progress.ts
@@ -1,5 +1,6 @@
 import type { GatewayRunner } from "../model/gateway_runner.js";
 import type { KvCacheRef } from "../model/kv_cache_ref.js";
+import type { AttemptConnection } from "./attempt_connection.js";
 import type { AttemptOutcome } from "./attempt_outcome.js";
 
 /** Progress of one request across its attempts. */
@@ -15,6 +16,8 @@
   lastReason: string;
   /** Last complete 5xx response, delivered if no retry succeeds. */
   lastFailure: Extract<AttemptOutcome, { type: "answered" }> | undefined;
+  /** Connection of the last attempt; undefined if nothing was sent. */
+  lastConnection: AttemptConnection | undefined;
   /** Where a migrated run resumes; takes precedence over placement. */
   continueAt:
     | { readonly runner: GatewayRunner; readonly cacheRef: KvCacheRef }
--- a/packages/gateway/src/relay/request_relay.ts
+++ b/packages/gateway/src/relay/request_relay.ts
@@ -11,6 +11,7 @@
 import type { Refusal } from "../model/refusal.js";
 import type { ConnectionPool } from "../transport/connection_pool.js";
 import type { RunnerDirectory } from "../views/runner_directory.js";
+import type { AttemptConnection } from "./attempt_connection.js";
 import type { AttemptOutcome } from "./attempt_outcome.js";
 import type { FinalOutcome } from "./final_outcome.js";
 import { logAttempt } from "./log_attempt.js";
@@ -91,6 +92,7 @@
       mayHaveExecuted: false,
       lastReason: "",
       lastFailure: undefined,
+      lastConnection: undefined,
       continueAt: undefined,
     };
     const outcome = await this.#runAttempts(context, session, progress);
@@ -189,6 +191,7 @@
     const migration = this.#dependencies.migrator.track(context, runner);
     const continueFrom = progress.continueAt?.cacheRef;
     progress.continueAt = undefined;
+    progress.lastConnection = undefined;
     try {
       const opened = await pool.acquire(runner, {
         mustBeNew: !mayRetry(route.retryPolicy) || continueFrom !== undefined,
@@ -212,7 +215,11 @@
       migration?.onCloseSource(() => {
         connection.close();
       });
-      const { outcome: received, head } = await runAttempt(connection, {
+      const {
+        outcome: received,
+        head,
+        connection: ended,
+      } = await runAttempt(connection, {
         codec,
         requestId: request.requestId,
         method: request.method,
@@ -234,6 +241,7 @@
         receiver: session,
       });
       const outcome = rejectAmbiguousEnd(received, migration);
+      progress.lastConnection = ended;
       if (head?.isClosing && head.execution !== "wrong_runner") {
         connection.close();
       } else if (outcome.type === "answered" || outcome.type === "streamed") {
--- a/packages/gateway/src/relay/run_attempt.ts
+++ b/packages/gateway/src/relay/run_attempt.ts
@@ -1,6 +1,7 @@
 import type { GatewayCodec } from "../model/gateway_codec.js";
 import type { RunnerResponse } from "../model/runner_response.js";
 import type { HttpConnection } from "../transport/http_connection.js";
+import type { AttemptConnection } from "./attempt_connection.js";
 import type { AttemptOutcome } from "./attempt_outcome.js";
 import { EventSplitter } from "./event_splitter.js";
 import type { StreamReceiver } from "./stream_receiver.js";
@@ -36,6 +37,7 @@
 ): Promise<{
   readonly outcome: AttemptOutcome;
   readonly head: RunnerResponse | undefined;
+  readonly connection: AttemptConnection;
 }> {
   return await new Promise((resolve) => {
     const chunks: Buffer[] = [];
@@ -54,10 +56,16 @@
       options.signal.removeEventListener("abort", onCallerDisconnect);
       const isComplete =
         outcome.type === "answered" || outcome.type === "streamed";
+      const { isReused, sentBytes, hasPeerEnded } = connection;
+      const endedBy = hasPeerEnded
+        ? "runner"
+        : isComplete
+          ? undefined
+          : "instance";
       if (!isComplete) {
         connection.close();
       }
-      resolve({ outcome, head });
+      resolve({ outcome, head, connection: { isReused, sentBytes, endedBy } });
     };
     const onCallerDisconnect = () => {
       settle({ type: "caller_left" });
--- a/packages/gateway/src/transport/http_connection.ts
+++ b/packages/gateway/src/transport/http_connection.ts
@@ -23,6 +23,9 @@
   readonly #socket: Socket;
   #idleSinceMs = monotonicMs();
   #hasFailed = false;
+  #hasPeerEnded = false;
+  #sendCount = 0;
+  #bytesBeforeSend = 0;
 
   private constructor(socket: Socket, endpoint: Endpoint) {
     this.#socket = socket;
@@ -30,6 +33,10 @@
     // reset as the regular end of a response without a content length.
     socket.on("error", () => {
       this.#hasFailed = true;
+      this.#hasPeerEnded = true;
+    });
+    socket.on("end", () => {
+      this.#hasPeerEnded = true;
     });
     let isConnected = false;
     this.#client = new Client(`http://${endpoint.host}:${endpoint.port}`, {
@@ -99,6 +106,21 @@
     return monotonicMs() - this.#idleSinceMs;
   }
 
+  /** True if the connection has carried an earlier request. */
+  get isReused(): boolean {
+    return this.#sendCount > 1;
+  }
+
+  /** Bytes written for the last request, which the peer may not have read. */
+  get sentBytes(): number {
+    return this.#socket.bytesWritten - this.#bytesBeforeSend;
+  }
+
+  /** True if the connection was ended or reset by the other end. */
+  get hasPeerEnded(): boolean {
+    return this.#hasPeerEnded;
+  }
+
   /** Sends a request; after this call the runner may have executed it. */
   send(
     request: {
@@ -109,6 +131,8 @@
     },
     sink: ResponseSink,
   ): Exchange {
+    this.#sendCount += 1;
+    this.#bytesBeforeSend = this.#socket.bytesWritten;
     let controller: Dispatcher.DispatchController | undefined;
     let isDone = false;
     const end = (report: () => void) => {
