Never start a run anew that was stopped to migrate

What callers saw: a stream that may run once ran twice.

Cause: after a migration the relay counted the attempt that ended as moved neither as an execution nor as a possible one. If the engine that holds the copy rejected the resumption (503) or could not be reached, the next placement sent the request to a third engine, whatever its route allows; before the first event the caller could also get 503, not run, for a request that had run.

Ruled out: a reset at the target, which counted as an execution all along.

Change: an attempt that ends early has executed, also if its run can resume. Placement asks that first, for all routes: what may have executed is placed again only where the route allows it. A failed resumption counts as an attempt of its own.

--- a/packages/gateway/src/relay/relay_progress.ts
+++ b/packages/gateway/src/relay/relay_progress.ts
@@ -9,7 +9,10 @@
   readonly excludedRunnerIds: Set<string>;
   /** Number of runners that the request has been sent to. */
   sendCount: number;
-  /** Number of attempts that may have executed the request. */
+  /**
+   * Number of runs that the request may have had; a run that resumed on another
+   * runner counts once.
+   */
   executionCount: number;
   mayHaveExecuted: boolean;
   /** Why the last attempt or placement failed; empty if none has failed. */
--- a/packages/gateway/src/relay/request_relay.ts
+++ b/packages/gateway/src/relay/request_relay.ts
@@ -11,7 +11,6 @@
 import type { Refusal } from "../model/refusal.js";
 import type { ConnectionPool } from "../transport/connection_pool.js";
 import type { RunnerDirectory } from "../views/runner_directory.js";
-import type { AttemptConnection } from "./attempt_connection.js";
 import type { AttemptOutcome } from "./attempt_outcome.js";
 import type { FinalOutcome } from "./final_outcome.js";
 import { logAttempt } from "./log_attempt.js";
@@ -112,6 +111,7 @@
       if (remainingMs(context) <= 0) return this.#giveUp(context, progress);
       const runner = await this.#findRunner(context, progress);
       if (!runner) return this.#giveUp(context, progress);
+      const isResumption = progress.continueAt !== undefined;
       const outcome = await this.#attempt(context, session, {
         runner,
         progress,
@@ -119,6 +119,7 @@
       const final = this.#afterAttempt(context, session, {
         runner,
         outcome,
+        isResumption,
         progress,
       });
       if (final) return final;
@@ -133,6 +134,8 @@
     if (continueAt) return continueAt.runner;
     const { route, service, request, response } = context;
     const { scheduler, retryBudget } = this.#dependencies;
+    if (progress.mayHaveExecuted && !mayRetry(route.retryPolicy))
+      return undefined;
     if (progress.sendCount >= MAX_SENDS) return undefined;
     if (progress.executionCount >= Math.max(1, route.maxAttempts))
       return undefined;
@@ -270,20 +273,22 @@
     attempt: {
       readonly runner: GatewayRunner;
       readonly outcome: AttemptOutcome;
+      /** The attempt was to resume a run that stopped on another runner. */
+      readonly isResumption: boolean;
       readonly progress: RelayProgress;
     },
   ): FinalOutcome | undefined {
-    const { runner, outcome, progress } = attempt;
+    const { runner, outcome, isResumption, progress } = attempt;
     logAttempt(this.#dependencies.logger, context, attempt);
     progress.excludedRunnerIds.add(runner.runnerId);
     const canRetry = mayRetry(context.route.retryPolicy);
     switch (outcome.type) {
       case "not_sent":
         this.#dependencies.outliers.record(runner.runnerId, true);
-        progress.lastReason = outcome.reason;
+        recordUnexecuted(progress, outcome, isResumption);
         return undefined;
       case "rejected":
-        progress.lastReason = outcome.reason;
+        recordUnexecuted(progress, outcome, isResumption);
         return undefined;
       case "streamed":
         this.#recordSuccess(context, runner);
@@ -309,10 +314,10 @@
       case "broken":
         this.#dependencies.outliers.record(runner.runnerId, true);
         progress.lastReason = outcome.reason;
+        progress.mayHaveExecuted = true;
         if (progress.continueAt) return undefined;
         this.#dependencies.checkForCrash(runner, context.fingerprint);
         progress.executionCount += 1;
-        progress.mayHaveExecuted = true;
         return canRetry ? undefined : this.#giveUp(context, progress);
       case "slow":
         this.#dependencies.outliers.record(runner.runnerId, true);
@@ -416,6 +421,19 @@
     : outcome;
 }
 
+// A run whose resumption fails stays one that has executed: its stopped part
+// then counts as an attempt of its own.
+function recordUnexecuted(
+  progress: RelayProgress,
+  { reason }: { readonly reason: string },
+  isResumption: boolean,
+): void {
+  progress.lastReason = isResumption
+    ? `the run could not resume: ${reason}`
+    : reason;
+  if (isResumption) progress.executionCount += 1;
+}
+
 function refuse(refusal: Refusal): FinalOutcome {
   return { type: "refused", refusal };
 }
