Reserve the ports of test fleets across processes

Cause: one harness closed its probes before its processes listened; the other searched from one of 50 ranges by process id, which overlap when ids are equal modulo 50 or a run takes more than 400 ports.

Change: one reservation for both harnesses. A port counts as taken while its twin on 127.0.0.2 is listened on, which the kernel grants to one process only; the port itself stays free to listen on and to restart on.

--- a/packages/proofs/src/__tests__/harness/fleet.ts
+++ b/packages/proofs/src/__tests__/harness/fleet.ts
@@ -1,4 +1,4 @@
-import { Link, findFreePort, type LinkMode } from "@jujubeladder/standins";
+import { Link, reservePort, type LinkMode } from "@jujubeladder/standins";
 import { mkdirSync, mkdtempSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
@@ -260,9 +260,9 @@
   async #addEntry(name: string, index: number): Promise<void> {
     this.#entries.set(name, {
       name,
-      callerPort: await findFreePort(),
-      peerPort: await findFreePort(),
-      adminPort: await findFreePort(),
+      callerPort: await reservePort(),
+      peerPort: await reservePort(),
+      adminPort: await reservePort(),
       region: REGIONS[index % REGIONS.length] ?? "",
     });
     this.#states.set(name, "live");
--- a/packages/standins/src/link.ts
+++ b/packages/standins/src/link.ts
@@ -1,6 +1,6 @@
 import { once } from "node:events";
 import { connect, createServer, type Server, type Socket } from "node:net";
-import { findFreePort } from "./find_free_port.js";
+import { reservePort } from "./reserve_port.js";
 import type { LinkMode } from "./link_mode.js";
 
 interface SocketPair {
@@ -38,7 +38,7 @@
     this.#server = createServer((client) => {
       this.#accept(client);
     });
-    this.#port = this.#port || (await findFreePort());
+    this.#port = this.#port || (await reservePort());
     this.#server.listen(this.#port, "127.0.0.1");
     await once(this.#server, "listening");
   }
--- a/packages/standins/src/mod.ts
+++ b/packages/standins/src/mod.ts
@@ -9,7 +9,7 @@
 export { EngineOrders } from "./engine_orders.js";
 export { EngineServer } from "./engine_server.js";
 export type { EngineStep } from "./engine_step.js";
-export { findFreePort } from "./find_free_port.js";
+export { reservePort } from "./reserve_port.js";
 export { Generation } from "./generation.js";
 export type { GenerationTruth } from "./generation_truth.js";
 export { Link } from "./link.js";
