Resume a migrated run only with a proof that it stopped

What callers saw: nothing; a run that may run once could go on at a second engine while the first still worked on it.

Cause: a migration took this instance's own close of the stream (a missing event, bytes that are no answer, the close after a refused final copy) for the end of the run. Engines may go on with a run whose connection has closed.

Ruled out: a copy whose handle is used twice; a resumption takes it out of the request's progress before it is sent, and keeps the request from starting anew.

Change: `stopped` carries a proof (the source answered the order to stop, it has no such run any more, it ended the stream, or it refuses connections). A stream that this instance ended asks the source to stop and resumes on its answer; without one within 1 s the stream is cut. A stream that the runner ended resumes at once, as before. A refused or unanswered final copy is ordered again while the stream stays open. A runner that is no longer listed is no proof, since it may go on serving.

Likewise mended: a stopped run whose stream stayed open waited for the caller's deadline and now resumes after 250 ms; copies that nobody resumes from (the caller left, the answer came late) are dropped.

--- /dev/null
+++ b/packages/gateway/src/__tests__/run_migration.test.ts
@@ -0,0 +1,103 @@
+import fc from "fast-check";
+import { Logger } from "@jujubeladder/logger";
+import { monotonicMs, sleep } from "@jujubeladder/utils";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import type { CopyOutcome } from "../model/copy_outcome.js";
+import { RunMigration } from "../relay/run_migration.js";
+import { createRunner } from "./create_runner.js";
+
+const SCENARIO_COUNT = 400;
+
+/** What the engines do, and when the stream breaks or the caller leaves. */
+const scenarios = fc.record({
+  firstCopies: fc.array(createAnswers("copied"), { maxLength: 2 }),
+  finalCopies: fc.array(createAnswers("kept"), { maxLength: 4 }),
+  exitsInMs: fc.constantFrom(380, 420, 500, 60_000),
+  endsAtMs: fc.integer({ min: 1, max: 250 }),
+  end: fc.constantFrom("runner ends it", "we close", "run completes"),
+});
+
+type Scenario =
+  typeof scenarios extends fc.Arbitrary<infer Value> ? Value : never;
+
+function createAnswers(handle: string) {
+  return fc.record({
+    outcome: fc.constantFrom<CopyOutcome>(
+      { type: "copied", handle: "copied", eventCount: 1 },
+      { type: "copied", handle: "copied", eventCount: 1 },
+      handle === "kept" ? { type: "refused", handle } : { type: "refused" },
+      { type: "refused" },
+      { type: "no_such_run" },
+      { type: "already_copying" },
+      { type: "unreachable", reason: "no answer" },
+      { type: "connection_refused" },
+    ),
+    takesMs: fc.constantFrom(0, 5, 60, 300, 1_300),
+  });
+}
+
+test("a migration ends in bounded time and frees the copies it leaves", async () => {
+  const runs = await Promise.all(
+    fc.sample(scenarios, SCENARIO_COUNT).map(play),
+  );
+  for (const { scenario, resolveMs, held } of runs) {
+    const text = JSON.stringify({ ...scenario, held, resolveMs });
+    assert.ok(resolveMs < 2_000, text);
+    assert.equal(held, [], text);
+  }
+  // Guards against a check that holds because nothing ever resumes.
+  const resumed = runs.filter(({ state }) => state === "stopped");
+  assert.ok(resumed.length > 10);
+});
+
+async function play(scenario: Scenario) {
+  const { endsAtMs, end } = scenario;
+  const held = new Set<string>();
+  const first = [...scenario.firstCopies];
+  const final = [...scenario.finalCopies];
+  const migration = new RunMigration({
+    source: createRunner("source"),
+    requestId: "request",
+    control: {
+      copyRun: async (_source, { isFinal }) => {
+        const answer = (isFinal ? final : first).shift();
+        await sleep(answer?.takesMs ?? 20);
+        const outcome = answer?.outcome ?? { type: "refused" };
+        if ("handle" in outcome && outcome.handle !== undefined)
+          held.add(outcome.handle);
+        return outcome;
+      },
+      readReport: () => Promise.resolve({ isLeaving: true }),
+      dropCopy: ({ handle }) => {
+        held.delete(handle);
+        return Promise.resolve();
+      },
+    },
+    targets: {
+      choose: () => createRunner("target"),
+      reserve: () => () => undefined,
+    },
+    logger: new Logger({}),
+  });
+  migration.start(monotonicMs() + scenario.exitsInMs);
+  await sleep(endsAtMs);
+  const endedAtMs = monotonicMs();
+  let state: string | undefined;
+  let used: string | undefined;
+  if (end !== "run completes") {
+    const resolved = await migration.resolveAfterBreak(
+      end === "runner ends it" ? "stream_ended" : undefined,
+    );
+    state = resolved.type;
+    if (resolved.type === "stopped") used = resolved.cacheRef.handle;
+  }
+  const resolveMs = monotonicMs() - endedAtMs;
+  migration.finish();
+  // Later than the last answer of the engines.
+  await sleep(1_500);
+  // A resumed run owns all copies of its cache.
+  return { scenario, state, resolveMs, held: used ? [] : [...held] };
+}
+
+test.run();
--- a/packages/gateway/src/decisions/advance_migration.ts
+++ b/packages/gateway/src/decisions/advance_migration.ts
@@ -1,5 +1,6 @@
 import type { GatewayRunner } from "../model/gateway_runner.js";
 import type { KvCacheRef } from "../model/kv_cache_ref.js";
+import type { StopProof } from "../model/stop_proof.js";
 import type { MigrationEvent } from "./migration_event.js";
 import type { MigrationState } from "./migration_state.js";
 import type { MigrationStep } from "./migration_step.js";
@@ -10,17 +11,21 @@
  * leaving runner gives before it exits.
  */
 const MAX_ATTEMPTS = 17;
+/** Orders to stop a run before its source counts as not answering them. */
+const MAX_STOP_ORDERS = 4;
+const UNCONFIRMED = "the source has not confirmed that the run stopped";
 
 type CopyAnswered = Extract<MigrationEvent, { type: "copy_answered" }>;
 type Copying = Extract<MigrationState, { type: "copying" }>;
 type Stopping = Extract<MigrationState, { type: "stopping" }>;
+type Confirming = Extract<MigrationState, { type: "confirming" }>;
 
 /**
  * State machine for the live migration of one run. The KV cache is copied
  * while the run continues; as late as possible the run is stopped and the
- * remainder copied, so that the caller only waits for the remainder. A run is
- * resumed on another runner only after its source has confirmed that it
- * stopped or its stream has broken, so that it never executes on two at once.
+ * remainder copied, so that the caller only waits for the remainder. A run
+ * resumes on another runner only with a proof that it stopped, so that it never
+ * executes on two at once. Without one, the stream is lost.
  */
 export function advanceMigration(
   state: MigrationState,
@@ -33,7 +38,8 @@
         : { state };
     case "copy_answered":
       if (state.type === "copying") return onCopyResult(state, event);
-      if (state.type === "stopping") return onFinalCopyResult(state, event);
+      if (state.type === "stopping" || state.type === "confirming")
+        return onFinalCopyResult(state, event);
       return { state };
     case "target_search_done":
       return state.type === "seeking"
@@ -42,7 +48,9 @@
     case "time_to_stop":
       return state.type === "copied" ? stopAndCopy(state) : { state };
     case "stream_broke":
-      return onStreamBroken(state);
+      return onStreamBroken(state, event.proof);
+    case "confirm_timed_out":
+      return state.type === "confirming" ? giveUp(UNCONFIRMED) : { state };
     case "run_ended":
       return state.type === "stopped" ? { state } : giveUp("the run has ended");
   }
@@ -89,6 +97,8 @@
       return copyOrFindTarget(event.nextTarget, attempts);
     case "already_copying":
       return giveUp("the run is being copied already");
+    case "connection_refused":
+      return giveUp("the runner refuses connections");
     case "unreachable":
       return giveUp(outcome.reason);
   }
@@ -99,51 +109,100 @@
 ): MigrationStep {
   const { target } = state;
   return {
-    state: { ...state, type: "stopping" },
+    state: { ...state, type: "stopping", failedStops: 0, isAsking: true },
     action: { type: "copy", target, isFinal: true },
   };
 }
 
 function onFinalCopyResult(
-  state: Stopping,
+  state: Stopping | Confirming,
   event: CopyAnswered,
 ): MigrationStep {
   const { outcome, source } = event;
+  const { target, cacheRef } = state;
   switch (outcome.type) {
-    case "copied": {
-      const cacheRef = toCacheRef(event, outcome.handle);
-      return { state: { type: "stopped", runner: state.target, cacheRef } };
-    }
-    case "refused": {
+    case "copied":
+      return stopped(state, {
+        runner: target,
+        cacheRef: toCacheRef(event, outcome.handle),
+        proof: "stop_answered",
+      });
+    case "refused":
       // A source that stopped the run retains its KV cache and returns a
-      // handle, so the run can resume there. Without a handle the run may be
-      // stalled; closing its stream lets it resume from the first copy.
-      if (outcome.handle === undefined) {
-        return { state, action: { type: "close_source_stream" } };
-      }
-      const cacheRef = toCacheRef(event, outcome.handle);
-      return { state: { type: "stopped", runner: source, cacheRef } };
-    }
-    // Whether the run has stopped shows on its stream.
+      // handle, so the run can resume there.
+      return outcome.handle === undefined
+        ? stopAgain(state)
+        : stopped(state, {
+            runner: source,
+            cacheRef: toCacheRef(event, outcome.handle),
+            proof: "stop_answered",
+          });
     case "no_such_run":
+      // While the stream is open, its end shows whether the run was complete.
+      return state.type === "stopping"
+        ? { state: { ...state, isAsking: false } }
+        : stopped(state, { runner: target, cacheRef, proof: "no_such_run" });
+    case "connection_refused":
+      return stopped(state, {
+        runner: target,
+        cacheRef,
+        proof: "connection_refused",
+      });
     case "already_copying":
     case "unreachable":
-      return { state };
+      return stopAgain(state);
   }
 }
 
+// The run may still execute, so only the source can tell that it stopped.
+function stopAgain(state: Stopping | Confirming): MigrationStep {
+  const { target } = state;
+  const failedStops = state.failedStops + 1;
+  if (failedStops < MAX_STOP_ORDERS) {
+    return {
+      state: { ...state, failedStops },
+      action: { type: "copy_final_later", target },
+    };
+  }
+  return state.type === "stopping"
+    ? { state: { ...state, failedStops, isAsking: false } }
+    : giveUp(UNCONFIRMED);
+}
+
+function stopped(
+  state: Stopping | Confirming,
+  result: Omit<Extract<MigrationState, { type: "stopped" }>, "type">,
+): MigrationStep {
+  return {
+    state: { type: "stopped", ...result },
+    action:
+      state.type === "stopping" ? { type: "await_stream_end" } : undefined,
+  };
+}
+
 // The stream is lost, but the target holds the copy made before.
-function onStreamBroken(state: MigrationState): MigrationStep {
+function onStreamBroken(
+  state: MigrationState,
+  proof: StopProof | undefined,
+): MigrationStep {
   switch (state.type) {
     case "copied":
     case "stopping": {
       const { target, cacheRef } = state;
-      return { state: { type: "stopped", runner: target, cacheRef } };
+      if (proof) {
+        return { state: { type: "stopped", runner: target, cacheRef, proof } };
+      }
+      const isAsking = state.type === "stopping" && state.isAsking;
+      return {
+        state: { type: "confirming", target, cacheRef, failedStops: 0 },
+        action: isAsking ? undefined : { type: "copy", target, isFinal: true },
+      };
     }
     case "idle":
     case "seeking":
     case "copying":
       return giveUp("the stream broke before a copy was made");
+    case "confirming":
     case "stopped":
     case "given_up":
       return { state };
--- a/packages/gateway/src/decisions/migration_event.ts
+++ b/packages/gateway/src/decisions/migration_event.ts
@@ -1,5 +1,6 @@
 import type { CopyOutcome } from "../model/copy_outcome.js";
 import type { GatewayRunner } from "../model/gateway_runner.js";
+import type { StopProof } from "../model/stop_proof.js";
 
 /** An event in the migration of a run. */
 export type MigrationEvent =
@@ -22,7 +23,13 @@
     }
   /** The source is about to exit; the run must stop there now. */
   | { readonly type: "time_to_stop" }
-  /** The stream ended early, so the run no longer executes on its source. */
-  | { readonly type: "stream_broke" }
+  /** The stream ended early. */
+  | {
+      readonly type: "stream_broke";
+      /** Absent if this instance ended the stream. */
+      readonly proof?: StopProof | undefined;
+    }
+  /** The source has not confirmed in time that the run stopped. */
+  | { readonly type: "confirm_timed_out" }
   /** The run ended, or its caller disconnected. */
   | { readonly type: "run_ended" };
--- a/packages/gateway/src/decisions/migration_state.ts
+++ b/packages/gateway/src/decisions/migration_state.ts
@@ -1,5 +1,6 @@
 import type { GatewayRunner } from "../model/gateway_runner.js";
 import type { KvCacheRef } from "../model/kv_cache_ref.js";
+import type { StopProof } from "../model/stop_proof.js";
 
 /** State of the migration of one run away from its runner. */
 export type MigrationState =
@@ -25,11 +26,26 @@
       readonly target: GatewayRunner;
       /** The copy that was made while the run continued. */
       readonly cacheRef: KvCacheRef;
+      /** Final copies that the source has failed to make. */
+      readonly failedStops: number;
+      /** False once the source is no longer asked to stop. */
+      readonly isAsking: boolean;
+    }
+  /**
+   * The stream is lost, but the source may still execute the run; it is asked
+   * to stop.
+   */
+  | {
+      readonly type: "confirming";
+      readonly target: GatewayRunner;
+      readonly cacheRef: KvCacheRef;
+      readonly failedStops: number;
     }
   /** The run has stopped and can resume on `runner` from `cacheRef`. */
   | {
       readonly type: "stopped";
       readonly runner: GatewayRunner;
       readonly cacheRef: KvCacheRef;
+      readonly proof: StopProof;
     }
   | { readonly type: "given_up"; readonly reason: string };
--- a/packages/gateway/src/mod.ts
+++ b/packages/gateway/src/mod.ts
@@ -9,6 +9,7 @@
 export type { GatewayConfig } from "./model/gateway_config.js";
 export { GatewayInstance } from "./server/gateway_instance.js";
 export type { GatewayRunner } from "./model/gateway_runner.js";
+export type { KvCacheRef } from "./model/kv_cache_ref.js";
 export type { GatewaySettings } from "./server/gateway_settings.js";
 export type { GatewayTeam } from "./model/gateway_team.js";
 export type { GenerationWork } from "./model/generation_work.js";
--- a/packages/gateway/src/model/copy_outcome.ts
+++ b/packages/gateway/src/model/copy_outcome.ts
@@ -13,4 +13,7 @@
       /** Identifies the KV cache that a stopped source still holds. */
       readonly handle?: string | undefined;
     }
+  /** Nothing listens at the source's address. */
+  | { readonly type: "connection_refused" }
+  /** No valid answer; the order may have been executed. */
   | { readonly type: "unreachable"; readonly reason: string };
--- a/packages/gateway/src/model/engine_control.ts
+++ b/packages/gateway/src/model/engine_control.ts
@@ -1,6 +1,7 @@
 import type { CopyOutcome } from "./copy_outcome.js";
 import type { EngineReport } from "./engine_report.js";
 import type { GatewayRunner } from "./gateway_runner.js";
+import type { KvCacheRef } from "./kv_cache_ref.js";
 
 /** Control operations of model engines. */
 export interface EngineControl {
@@ -23,5 +24,5 @@
    */
   readReport(runner: GatewayRunner, timeoutMs: number): Promise<EngineReport>;
   /** Frees a copy on both the source and the target. */
-  dropCopy(source: GatewayRunner, handle: string): Promise<void>;
+  dropCopy(cacheRef: KvCacheRef): Promise<void>;
 }
--- a/packages/gateway/src/relay/request_relay.ts
+++ b/packages/gateway/src/relay/request_relay.ts
@@ -251,7 +251,9 @@
         pool.release(runner.runnerId, connection, head?.keepAliveMs);
       }
       if (outcome.type === "broken" && migration) {
-        const state = await migration.resolveAfterBreak();
+        const state = await migration.resolveAfterBreak(
+          ended.endedBy === "runner" ? "stream_ended" : undefined,
+        );
         if (state.type === "stopped") {
           progress.continueAt = {
             runner: state.runner,
--- a/packages/gateway/src/relay/run_migration.ts
+++ b/packages/gateway/src/relay/run_migration.ts
@@ -6,6 +6,7 @@
 import type { MigrationState } from "../decisions/migration_state.js";
 import type { EngineControl } from "../model/engine_control.js";
 import type { GatewayRunner } from "../model/gateway_runner.js";
+import type { StopProof } from "../model/stop_proof.js";
 
 /** A longer copy would outlast the notice that a leaving runner gives. */
 const COPY_TIMEOUT_MS = 4_000;
@@ -13,6 +14,13 @@
 const STOP_CONFIRM_TIMEOUT_MS = 1_000;
 /** Delay before a copy is retried for a run that has not started yet. */
 const COPY_RETRY_DELAY_MS = 120;
+/** Delay before a final copy that failed is ordered again. */
+const STOP_RETRY_DELAY_MS = 100;
+/**
+ * How long a stopped run's stream may stay open: events in flight need a round
+ * trip between regions, and the caller waits meanwhile.
+ */
+const STREAM_END_TIMEOUT_MS = 250;
 /** Delay before targets are searched again; runs there may end meanwhile. */
 const TARGET_RETRY_DELAY_MS = 200;
 /** Reserve for the final copies of all runs, which share one link. */
@@ -36,8 +44,13 @@
   readonly #targets: MigrationTargets;
   readonly #logger: Logger;
   readonly #refusedRunnerIds = new Set<string>();
+  /** Handles of the copies that may still occupy memory. */
+  readonly #handles = new Set<string>();
   readonly #ended = new AbortController();
+  /** Aborted when the source's stream has ended. */
+  readonly #streamEnded = new AbortController();
   #state: MigrationState = { type: "idle" };
+  #isResuming = false;
   #sourceExitAtMs = Number.POSITIVE_INFINITY;
   #task: Promise<void> | undefined;
   #closeSource: () => void = () => undefined;
@@ -86,36 +99,50 @@
   }
 
   /**
-   * Called when the run's stream ended early. Returns the resulting state,
-   * which holds the runner on which the run can resume, if there is one.
+   * Called when the run's stream ended early; `proof` is absent if this
+   * instance ended it. Returns the resulting state, which holds the runner on
+   * which the run resumes, if there is one.
    */
-  async resolveAfterBreak(): Promise<MigrationState> {
-    const isStopping = this.#state.type === "stopping";
-    if (this.#task && isStopping)
+  async resolveAfterBreak(
+    proof: StopProof | undefined,
+  ): Promise<MigrationState> {
+    const brokeAtMs = monotonicMs();
+    this.#streamEnded.abort();
+    // The final copy holds more than the first, so its answer is awaited also
+    // if the run is known to have stopped.
+    if (this.#task && this.#state.type === "stopping")
       await settleWithin(this.#task, STOP_CONFIRM_TIMEOUT_MS);
-    this.#advance({ type: "stream_broke" });
+    const action = this.#advance({ type: "stream_broke", proof }, brokeAtMs);
+    if (this.#state.type === "confirming") {
+      const leftMs = brokeAtMs + STOP_CONFIRM_TIMEOUT_MS - monotonicMs();
+      const confirmation = action ? this.#execute(action) : this.#task;
+      if (confirmation) await settleWithin(confirmation, Math.max(0, leftMs));
+      this.#advance({ type: "confirm_timed_out" });
+    }
     this.#ended.abort();
+    this.#isResuming = this.#state.type === "stopped";
     return this.#state;
   }
 
   /** Ends the migration after the run ended or its caller disconnected. */
   finish(): void {
     this.#ended.abort();
+    this.#streamEnded.abort();
     this.#releaseTarget();
-    const { type } = this.#state;
-    if (type === "idle" || type === "stopped") return;
-    const cacheRef =
-      "cacheRef" in this.#state ? this.#state.cacheRef : undefined;
-    this.#advance({ type: "run_ended" });
-    if (cacheRef) void this.#control.dropCopy(this.#source, cacheRef.handle);
+    if (this.#state.type !== "idle") this.#advance({ type: "run_ended" });
+    this.#dropUnusedCopies();
   }
 
   // Applies an event and returns the next action, if any.
-  #advance(event: MigrationEvent): MigrationAction | undefined {
-    const step = advanceMigration(this.#state, event);
-    const isNewState = this.#state.type !== step.state.type;
+  #advance(
+    event: MigrationEvent,
+    atMs = monotonicMs(),
+  ): MigrationAction | undefined {
+    const before = this.#state;
+    const step = advanceMigration(before, event);
     this.#state = step.state;
-    if (isNewState) this.#log(step.state);
+    if (before.type === step.state.type) return step.action;
+    this.#log(step.state, atMs);
     return step.action;
   }
 
@@ -131,6 +158,10 @@
           await sleep(COPY_RETRY_DELAY_MS, this.#ended.signal);
           action = { type: "copy", target: action.target, isFinal: false };
           break;
+        case "copy_final_later":
+          await sleep(STOP_RETRY_DELAY_MS, this.#ended.signal);
+          action = { type: "copy", target: action.target, isFinal: true };
+          break;
         case "find_target_later":
           await sleep(TARGET_RETRY_DELAY_MS, this.#ended.signal);
           this.#refusedRunnerIds.clear();
@@ -139,8 +170,9 @@
             target: this.#targets.choose(this.#refusedRunnerIds),
           });
           break;
-        case "close_source_stream":
-          this.#closeSource();
+        case "await_stream_end":
+          await sleep(STREAM_END_TIMEOUT_MS, this.#streamEnded.signal);
+          if (!this.#streamEnded.signal.aborted) this.#closeSource();
           return;
         case "copy":
           action = await this.#copy(action.target, action.isFinal);
@@ -186,21 +218,37 @@
     const nextTarget = isRefused
       ? this.#targets.choose(this.#refusedRunnerIds)
       : undefined;
-    return this.#advance({
+    const action = this.#advance({
       type: "copy_answered",
       source,
       outcome,
       nextTarget,
     });
+    if ("handle" in outcome && outcome.handle !== undefined)
+      this.#handles.add(outcome.handle);
+    // The answer may come after the run has ended.
+    if (this.#ended.signal.aborted) this.#dropUnusedCopies();
+    return action;
+  }
+
+  #dropUnusedCopies(): void {
+    if (this.#isResuming) return;
+    const { host, port } = this.#source;
+    for (const handle of this.#handles)
+      void this.#control.dropCopy({ host, port, handle });
+    this.#handles.clear();
   }
 
-  #log(state: MigrationState): void {
+  #log(state: MigrationState, sinceMs: number): void {
     this.#logger.info("run_move", {
       request: this.#requestId,
       source: this.#source.runnerId,
       state: state.type,
       target: "target" in state ? state.target.runnerId : undefined,
       runner: state.type === "stopped" ? state.runner.runnerId : undefined,
+      proof: state.type === "stopped" ? state.proof : undefined,
+      proof_age_ms:
+        state.type === "stopped" ? monotonicMs() - sinceMs : undefined,
       reason: state.type === "given_up" ? state.reason : undefined,
     });
   }
