Stop a resumable run that is given up before it starts elsewhere

What callers saw: nothing; engines worked on two runs of one request for as long as the first ignored the close of its connection.

Cause: a resumable stream that this instance gives up (no first event in time, an answer of another request, a missing event) starts on another engine, and only the close of the connection told the first one to stop.

Ruled out: routes that run at most once; they are not placed again after such an end.

Change: before the request goes on, the engine is asked for a final copy to the runner chosen next, which stops the run; the copy is dropped. That the engine has no such run proves a stop only for a run that has made an event: a request in its queue or in prefill is no run yet.

--- a/packages/gateway/src/relay/relay_progress.ts
+++ b/packages/gateway/src/relay/relay_progress.ts
@@ -1,5 +1,6 @@
 import type { GatewayRunner } from "../model/gateway_runner.js";
 import type { KvCacheRef } from "../model/kv_cache_ref.js";
+import type { AbandonedRun } from "./abandoned_run.js";
 import type { AttemptConnection } from "./attempt_connection.js";
 import type { AttemptOutcome } from "./attempt_outcome.js";
 
@@ -21,6 +22,8 @@
   lastFailure: Extract<AttemptOutcome, { type: "answered" }> | undefined;
   /** Connection of the last attempt; undefined if nothing was sent. */
   lastConnection: AttemptConnection | undefined;
+  /** A run to stop before the request is sent to another runner. */
+  abandonedRun: AbandonedRun | undefined;
   /** Where a migrated run resumes; takes precedence over placement. */
   continueAt:
     | { readonly runner: GatewayRunner; readonly cacheRef: KvCacheRef }
--- a/packages/gateway/src/relay/request_relay.ts
+++ b/packages/gateway/src/relay/request_relay.ts
@@ -92,6 +92,7 @@
       lastReason: "",
       lastFailure: undefined,
       lastConnection: undefined,
+      abandonedRun: undefined,
       continueAt: undefined,
     };
     const outcome = await this.#runAttempts(context, session, progress);
@@ -112,6 +113,10 @@
       const runner = await this.#findRunner(context, progress);
       if (!runner) return this.#giveUp(context, progress);
       const isResumption = progress.continueAt !== undefined;
+      const { abandonedRun } = progress;
+      progress.abandonedRun = undefined;
+      if (abandonedRun)
+        await this.#dependencies.migrator.stop(context, abandonedRun, runner);
       const outcome = await this.#attempt(context, session, {
         runner,
         progress,
@@ -195,6 +200,7 @@
     const continueFrom = progress.continueAt?.cacheRef;
     progress.continueAt = undefined;
     progress.lastConnection = undefined;
+    const eventCount = session?.eventCount ?? 0;
     try {
       const opened = await pool.acquire(runner, {
         mustBeNew: !mayRetry(route.retryPolicy) || continueFrom !== undefined,
@@ -250,9 +256,10 @@
       } else if (outcome.type === "answered" || outcome.type === "streamed") {
         pool.release(runner.runnerId, connection, head?.keepAliveMs);
       }
+      const hasRunnerEnded = ended.endedBy === "runner";
       if (outcome.type === "broken" && migration) {
         const state = await migration.resolveAfterBreak(
-          ended.endedBy === "runner" ? "stream_ended" : undefined,
+          hasRunnerEnded ? "stream_ended" : undefined,
         );
         if (state.type === "stopped") {
           progress.continueAt = {
@@ -261,6 +268,13 @@
           };
         }
       }
+      const isAbandoned =
+        outcome.type === "slow" ||
+        (outcome.type === "broken" && !hasRunnerEnded && !progress.continueAt);
+      if (isAbandoned && session) {
+        const hasStarted = session.eventCount > eventCount;
+        progress.abandonedRun = { source: runner, hasStarted };
+      }
       return outcome;
     } finally {
       scheduler.release(placement);
--- a/packages/gateway/src/relay/run_migrator.ts
+++ b/packages/gateway/src/relay/run_migrator.ts
@@ -8,7 +8,9 @@
 import type { RunnerDirectory } from "../views/runner_directory.js";
 import type { PlacementScheduler } from "./placement_scheduler.js";
 import type { RequestContext } from "./request_context.js";
+import type { AbandonedRun } from "./abandoned_run.js";
 import { RunMigration } from "./run_migration.js";
+import { stopAbandonedRun } from "./stop_abandoned_run.js";
 
 /** A leaving runner gives about 2 s of notice, part of which has passed. */
 const MIN_NOTICE_MS = 1_400;
@@ -84,6 +86,17 @@
     return migration;
   }
 
+  /** Stops a run that was given up and is about to start anew on `target`. */
+  async stop(
+    { service, request }: RequestContext,
+    run: AbandonedRun,
+    target: GatewayRunner,
+  ): Promise<void> {
+    if (!service.engine?.canMigrate) return;
+    const { requestId } = request;
+    await stopAbandonedRun(this.#dependencies, { ...run, requestId, target });
+  }
+
   /** Lists the runners with tracked runs. */
   listSources(): readonly GatewayRunner[] {
     const { directory } = this.#dependencies;
