Keep one successor once an offer's response was lost

What callers saw: a ticket not yet submitted when its owner left could run at two successors, the second told by a witness record that was handed off twice.

Cause: after the response to an offer was lost, the leaving instance took an absent list entry or a refusal of the repeated offer for proof that the peer had not accepted the first one, and offered its ledgers to the next peer. The peer may have accepted, begun to leave itself (it then refuses) or restarted.

Ruled out: a refusal of the first offer, and a peer without a list entry before any offer; both are proof, and the next peer is still offered.

Seen in unit tests only, in no trace.

Change: after a lost response only acceptance is believed; a peer that has accepted says so again, also while it leaves.

--- a/packages/coordination/src/create_peer_service.ts
+++ b/packages/coordination/src/create_peer_service.ts
@@ -30,6 +30,9 @@
   dependencies: PeerServiceDependencies,
 ): Partial<ServiceImpl<typeof PeerService>> {
   const { incarnations, witness } = dependencies;
+  // Incarnations whose offer was accepted; an offer is repeated if its response
+  // was lost, perhaps when this instance is leaving itself.
+  const acceptedFrom = new Set<string>();
 
   // Finds the successor of a witness that has left. Waits for a handoff in
   // progress, since the witness may be this instance itself.
@@ -109,10 +112,14 @@
       });
     },
     takeOver: (request) => {
+      const fromIncarnation = request.from?.incarnation;
+      if (fromIncarnation === undefined) return { isAccepted: false };
+      if (acceptedFrom.has(fromIncarnation)) return { isAccepted: true };
       const isIntendedSuccessor =
         request.successor?.incarnation === dependencies.identity.incarnation;
       if (!isIntendedSuccessor || dependencies.membership.isLeaving)
         return { isAccepted: false };
+      acceptedFrom.add(fromIncarnation);
       for (const record of request.ownerRecords) {
         if (!record.result) continue;
         const expiresAtMs = Number(record.expiresAtMs);
--- a/packages/coordination/src/handoff.ts
+++ b/packages/coordination/src/handoff.ts
@@ -19,8 +19,7 @@
  * Hands the ledgers of a leaving instance off to one successor. Once the first
  * offer is sent, the instance no longer answers for any ticket itself. A peer
  * whose response was lost may have accepted, so that peer is retried and no
- * other is tried unless it refuses: two successors could report different
- * outcomes for a ticket.
+ * other is tried: two successors could both run a ticket.
  */
 export class Handoff {
   readonly #identity: PeerIdentity;
@@ -94,10 +93,14 @@
     peer: PeerState,
     inherited: readonly string[],
   ): Promise<OfferOutcome> {
-    for (let attempt = 0; attempt < MAX_ATTEMPTS; attempt += 1) {
-      const offer = await this.#offer(peer, inherited);
-      if (offer !== "unknown") return offer;
+    const first = await this.#offer(peer, inherited);
+    if (first !== "unknown") return first;
+    // Only acceptance can still be believed: a refusal may come from a later
+    // incarnation, whose predecessor accepted and handed the tickets on.
+    for (let attempt = 1; attempt < MAX_ATTEMPTS; attempt += 1) {
       await sleep(RETRY_INTERVAL_MS);
+      const offer = await this.#offer(peer, inherited);
+      if (offer === "accepted") return offer;
     }
     return "unknown";
   }
