Tell an owner that a ticket was started elsewhere

What callers saw: 503, not run, for a ticket that another owner had started.

Cause: the witness answered a start with barred both for a ticket that will never start and for one that another owner had started or finished; the second owner took that for proof that nothing ran.

Ruled out: a second run; the second owner did not dispatch then either.

Change: the verdict started, answered with may_have_run.

--- a/packages/coordination/src/__tests__/ledgers.test.ts
+++ b/packages/coordination/src/__tests__/ledgers.test.ts
@@ -50,6 +50,17 @@
   );
 });
 
+test("a ticket that another owner started is not told to be barred", () => {
+  const expiresAtMs = Date.now() + 1_000;
+  const recordStart = (ledger: WitnessLedger, ownerIncarnation: string) =>
+    ledger.recordStart("t", { ownerIncarnation, expiresAtMs });
+  const ledger = new WitnessLedger(LIMITS);
+  assert.is(recordStart(ledger, "1"), "recorded");
+  assert.is(recordStart(ledger, "2"), "started");
+  ledger.recordResult("t", makeResult("completed", ""));
+  assert.is(recordStart(ledger, "2"), "started");
+});
+
 test("a full ledger does not answer not_run for a ticket it cannot record", async () => {
   const ledger = new OwnerLedger(LIMITS);
   let runs = 0;
--- a/packages/coordination/src/__tests__/ticket_service.test.ts
+++ b/packages/coordination/src/__tests__/ticket_service.test.ts
@@ -85,4 +85,45 @@
   }
 });
 
+test("a ticket that another owner started is never said to be not run", async () => {
+  const identity = { instanceId: "entry-1", incarnation: "second" };
+  const sealBox = new SealBox(["a secret"], "ticket");
+  const successions = new Successions(1_000);
+  const witnessLedger = new WitnessLedger(LIMITS);
+  const expiresAtMs = Date.now() + LIMITS.ticketTtlMs;
+  witnessLedger.recordStart("t1", { ownerIncarnation: "other", expiresAtMs });
+  const servesIncarnation = () => true;
+  const service = new TicketService({
+    identity,
+    limits: LIMITS,
+    sealBox,
+    membership: { availabilityZone: "r1-a" } as never,
+    directory: undefined as never,
+    successions,
+    ledger: new OwnerLedger(LIMITS),
+    witness: new WitnessClient({
+      ledger: witnessLedger,
+      directory: undefined as never,
+      successions,
+      servesIncarnation,
+    }),
+    dispatch: () => Promise.reject(new Error("unexpected dispatch")),
+    servesIncarnation,
+    logger: new Logger({}),
+  });
+  const ticket = {
+    ticketId: "t1",
+    serviceId: "filing",
+    teamId: "team-a",
+    method: "POST",
+    path: "/",
+    owner: identity,
+    witness: { instanceId: "entry-2", incarnation: "witness" },
+    expiresAtMs,
+  };
+  const body = { bytes: new Uint8Array(), contentType: "" };
+  const result = await service.run(ticket, sealBox.seal(ticket), body);
+  assert.is(result.outcome, "may_have_run");
+});
+
 test.run();
--- a/packages/coordination/src/start_verdict.ts
+++ b/packages/coordination/src/start_verdict.ts
@@ -1,3 +1,6 @@
-/** The witness's response when an owner asks to start a ticket. */
+/**
+ * The witness's response when an owner asks to start a ticket. Only `recorded`
+ * allows the owner to dispatch it; `started` means that another owner has.
+ */
 export type StartVerdict =
-  "recorded" | "barred" | "unknown_witness" | "expired" | "full";
+  "recorded" | "started" | "barred" | "unknown_witness" | "expired" | "full";
--- a/packages/coordination/src/ticket_service.ts
+++ b/packages/coordination/src/ticket_service.ts
@@ -170,6 +170,9 @@
         ticket,
         this.#identity.incarnation,
       );
+      if (verdict === "started") {
+        return makeResult("may_have_run", "another owner has started it");
+      }
       if (verdict !== "recorded") {
         const reason = `the witness did not record the start: ${verdict}`;
         return makeResult("not_run", reason);
--- a/packages/coordination/src/witness_ledger.ts
+++ b/packages/coordination/src/witness_ledger.ts
@@ -32,10 +32,11 @@
   ): StartVerdict {
     const known = this.#entries.get(ticketId);
     if (known) {
+      if (known.state === "barred") return "barred";
       const isSameOwner =
         known.state === "started" &&
         known.ownerIncarnation === options.ownerIncarnation;
-      return isSameOwner ? "recorded" : "barred";
+      return isSameOwner ? "recorded" : "started";
     }
     if (this.#isPastRetention(options.expiresAtMs)) return "expired";
     this.#evictExpired();
