Believe a refusal only of the request it answers

What callers saw: 503, not run, or a second runner, for a request that a runner may have executed, if its response carried x-not-run beside the id of another request or a status of success.

Cause: any response with the header counted as proof.

Ruled out: late responses of an earlier request on the same connection; each connection serves one request.

Change: a refusal has a status of 400 or more and, if it carries the id header of the request, the id of this one; otherwise the outcome is unknown.

--- a/packages/upstream/src/engine_client.ts
+++ b/packages/upstream/src/engine_client.ts
@@ -16,6 +16,7 @@
 import { SingleUseClient } from "./single_use_client.js";
 
 const CONTROL_TIMEOUT_MS = 1_000;
+const ID_HEADER = "x-generation-id";
 
 type Method = "GET" | "POST" | "PUT" | "DELETE";
 
@@ -44,7 +45,7 @@
         path: "/v1/chat/completions",
         headers: {
           "content-type": "application/json",
-          "x-generation-id": options.generationId,
+          [ID_HEADER]: options.generationId,
           "x-priority": String(options.priority),
           "x-prefix-key": options.prefixKey,
         },
@@ -172,8 +173,11 @@
         return { type: "opened", stream: { events, close } };
       }
       connection.close();
-      const refusal = readRefusal(response.headers);
-      if (refusal) return { type: "refused", ...refusal };
+      const refusal = readRefusal(response, {
+        idHeader: ID_HEADER,
+        id: options.generationId,
+      });
+      if (refusal) return refusal;
       if (response.statusCode === 404) return { type: "missing" };
       return { type: "unknown", reason: `status ${response.statusCode}` };
     } catch (error) {
--- a/packages/upstream/src/plain_service_client.ts
+++ b/packages/upstream/src/plain_service_client.ts
@@ -4,6 +4,8 @@
 import type { RunnerAddress } from "./runner_address.js";
 import { SingleUseClient } from "./single_use_client.js";
 
+const ID_HEADER = "x-request-id";
+
 /** A fully buffered HTTP call to a plain service. */
 interface PlainCall {
   readonly requestId: string;
@@ -60,7 +62,7 @@
         method: call.method,
         path: call.path,
         headers: {
-          "x-request-id": call.requestId,
+          [ID_HEADER]: call.requestId,
           ...(hasBody && call.contentType !== undefined
             ? { "content-type": call.contentType }
             : {}),
@@ -69,8 +71,11 @@
         ...(options.signal ? { signal: options.signal } : {}),
       });
       const body = new Uint8Array(await response.body.arrayBuffer());
-      const refusal = readRefusal(response.headers);
-      if (refusal) return { type: "refused", ...refusal };
+      const refusal = readRefusal(response, {
+        idHeader: ID_HEADER,
+        id: call.requestId,
+      });
+      if (refusal) return refusal;
       const contentType = response.headers["content-type"];
       return {
         type: "answered",
