Say that a generation ran only if its start was seen

What callers saw: 502, ran_incomplete, for a generation whose start was reset, timed out or answered with an error, and that the engine may never have begun.

Cause: every loss counted as one after the start.

Ruled out: not_run for such a request; and a second run of a request that must run once, which depends on the service alone.

Change: may_have_run until a stream was opened or a token was handed out. A retry that may have run does not hide that an earlier attempt did.

--- a/packages/jujubeladder/src/relay/generation_reader.ts
+++ b/packages/jujubeladder/src/relay/generation_reader.ts
@@ -33,10 +33,18 @@
   readonly onProgress: (producedTokens: number) => void;
 }
 
+/** Why a generation was lost, whether or not it had started. */
+interface Loss {
+  readonly type: "lost";
+  readonly reason: string;
+  readonly isCrash: boolean;
+}
+
 /** A stream that continues the generation, or why there is none. */
 type Resumption =
   | { readonly type: "stream"; readonly stream: EngineStream }
-  | Extract<AttemptResult, { type: "lost" | "abandoned" }>;
+  | Extract<AttemptResult, { type: "abandoned" }>
+  | Loss;
 
 /**
  * Reads one generation to its end, reconnecting as needed. Each token is
@@ -49,6 +57,8 @@
   readonly #client: EngineClient;
   readonly #options: ReaderOptions;
   #nextOffset: number;
+  /** A stream was opened, which an engine does only for a started generation. */
+  #hasStarted: boolean;
   #lastTokenAtMs: number | undefined;
 
   constructor(handle: StreamHandle, options: ReaderOptions) {
@@ -57,6 +67,7 @@
     this.#client = new EngineClient(handle);
     this.#options = options;
     this.#nextOffset = options.firstOffset;
+    this.#hasStarted = options.firstOffset > 0;
   }
 
   get nextOffset(): number {
@@ -76,9 +87,11 @@
     for (;;) {
       if (!stream) {
         const resumption = await this.#resume();
-        if (resumption.type !== "stream") return resumption;
+        if (resumption.type === "lost") return this.#toLost(resumption);
+        if (resumption.type === "abandoned") return resumption;
         stream = resumption.stream;
       }
+      this.#hasStarted = true;
       try {
         if (yield* this.#readConnection(stream)) return { type: "finished" };
       } finally {
@@ -142,6 +155,11 @@
     }
   }
 
+  #toLost(loss: Loss): AttemptResult {
+    const outcome = this.#hasStarted ? "ran_incomplete" : "may_have_run";
+    return { ...loss, outcome };
+  }
+
   #recordToken(): void {
     const { metrics, onProgress } = this.#options;
     const nowMs = monotonicMs();
@@ -173,9 +191,6 @@
   }
 }
 
-function lost(
-  reason: string,
-  isCrash: boolean,
-): Extract<AttemptResult, { type: "lost" }> {
-  return { type: "lost", outcome: "ran_incomplete", reason, isCrash };
+function lost(reason: string, isCrash: boolean): Loss {
+  return { type: "lost", reason, isCrash };
 }
--- a/packages/jujubeladder/src/relay/generation_relay.ts
+++ b/packages/jujubeladder/src/relay/generation_relay.ts
@@ -80,7 +80,10 @@
       excludedRunnerIds.add(placement.admission.runnerId);
       progress.reason = result.reason;
       if (result.type === "not_started") continue;
-      progress.outcome = result.outcome;
+      // A later attempt must not hide that an earlier one ran.
+      if (progress.outcome !== "ran_incomplete") {
+        progress.outcome = result.outcome;
+      }
       const { sentTokens } = result;
       const canRerun = service.isIdempotent && sentTokens === 0;
       if (!canRerun) {
