Stop a copied run whose connection was reset before it resumes

What callers saw: nothing; a source whose connections were reset, but which goes on with its runs, worked on a run that had resumed from its first copy.

Cause: the end of the stream by the runner's side counted as a stop also while the source had not been told to stop.

Ruled out: a run that is being stopped; it has its order and resumes as before.

Change: the source of a copied run is told to stop, and its answer awaited for at most 120 ms; a source that exited refuses the connection at once. Without an answer the run resumes from the first copy, since the order is on its way and the stream has ended.

Test changed: "resumes from the first copy when the source exits early" expected no question to the source; it now expects one, and the resumption without an answer.

--- a/packages/gateway/src/__tests__/advance_migration.test.ts
+++ b/packages/gateway/src/__tests__/advance_migration.test.ts
@@ -91,8 +91,14 @@
     type: "stream_broke",
     proof: "stream_ended",
   });
-  assert.is(step.state.type, "stopped");
-  assert.is(step.action, undefined);
+  // Asked first, as it may go on after a reset of its connections.
+  assert.equal(step.action, { type: "copy", target: TARGET, isFinal: true });
+  const late = advanceMigration(step.state, { type: "confirm_timed_out" });
+  const stopped = { type: "stopped", runner: TARGET, cacheRef: FIRST_COPY };
+  assert.equal(late.state, { ...stopped, proof: "stream_ended" });
+  assert.is(late.action, undefined);
+  step = advanceMigration(step.state, copyAnswered({ type: "no_such_run" }));
+  assert.equal(step.state, { ...stopped, proof: "no_such_run" });
 });
 
 test("a run whose stream this instance closed resumes only with a proof", () => {
@@ -207,14 +213,17 @@
   event: MigrationEvent,
 ): StopProof | undefined {
   if (event.type === "stream_broke") return event.proof;
+  if (event.type === "confirm_timed_out" && before.type === "confirming")
+    return before.proof;
   if (event.type !== "copy_answered") return undefined;
   if (before.type !== "stopping" && before.type !== "confirming")
     return undefined;
   const { outcome } = event;
+  const ended = before.type === "confirming" ? before.proof : undefined;
   if ("handle" in outcome && outcome.handle) return "stop_answered";
   if (outcome.type === "no_such_run" && before.type === "confirming")
     return "no_such_run";
-  return outcome.type === "connection_refused" ? outcome.type : undefined;
+  return outcome.type === "connection_refused" ? outcome.type : ended;
 }
 
 /** Something that happens to a run on a source which ignores our close. */
--- a/packages/gateway/src/decisions/advance_migration.ts
+++ b/packages/gateway/src/decisions/advance_migration.ts
@@ -50,7 +50,7 @@
     case "stream_broke":
       return onStreamBroken(state, event.proof);
     case "confirm_timed_out":
-      return state.type === "confirming" ? giveUp(UNCONFIRMED) : { state };
+      return state.type === "confirming" ? endConfirming(state) : { state };
     case "run_ended":
       return state.type === "stopped" ? { state } : giveUp("the run has ended");
   }
@@ -166,6 +166,13 @@
   }
   return state.type === "stopping"
     ? { state: { ...state, failedStops, isAsking: false } }
+    : endConfirming(state);
+}
+
+function endConfirming(state: Confirming): MigrationStep {
+  const { target, cacheRef, proof } = state;
+  return proof
+    ? stopped(state, { runner: target, cacheRef, proof })
     : giveUp(UNCONFIRMED);
 }
 
@@ -180,7 +187,9 @@
   };
 }
 
-// The stream is lost, but the target holds the copy made before.
+// The stream is lost, but the target holds the copy made before. A source that
+// has not been told to stop is asked in any case: its connections may have been
+// reset while it goes on.
 function onStreamBroken(
   state: MigrationState,
   proof: StopProof | undefined,
@@ -189,12 +198,12 @@
     case "copied":
     case "stopping": {
       const { target, cacheRef } = state;
-      if (proof) {
+      if (proof && state.type === "stopping") {
         return { state: { type: "stopped", runner: target, cacheRef, proof } };
       }
       const isAsking = state.type === "stopping" && state.isAsking;
       return {
-        state: { type: "confirming", target, cacheRef, failedStops: 0 },
+        state: { type: "confirming", target, cacheRef, failedStops: 0, proof },
         action: isAsking ? undefined : { type: "copy", target, isFinal: true },
       };
     }
--- a/packages/gateway/src/decisions/migration_state.ts
+++ b/packages/gateway/src/decisions/migration_state.ts
@@ -40,6 +40,8 @@
       readonly target: GatewayRunner;
       readonly cacheRef: KvCacheRef;
       readonly failedStops: number;
+      /** What the end of the stream shows, if the source does not answer. */
+      readonly proof?: StopProof | undefined;
     }
   /** The run has stopped and can resume on `runner` from `cacheRef`. */
   | {
--- a/packages/gateway/src/relay/run_migration.ts
+++ b/packages/gateway/src/relay/run_migration.ts
@@ -14,6 +14,11 @@
 const STOP_CONFIRM_TIMEOUT_MS = 1_000;
 /** Delay before a copy is retried for a run that has not started yet. */
 const COPY_RETRY_DELAY_MS = 120;
+/**
+ * The same for a stream that the source ended, which probably stopped the run:
+ * two round trips between regions.
+ */
+const ENDED_CONFIRM_TIMEOUT_MS = 120;
 /** Delay before a final copy that failed is ordered again. */
 const STOP_RETRY_DELAY_MS = 100;
 /**
@@ -114,10 +119,13 @@
       await settleWithin(this.#task, STOP_CONFIRM_TIMEOUT_MS);
     const action = this.#advance({ type: "stream_broke", proof }, brokeAtMs);
     if (this.#state.type === "confirming") {
-      const leftMs = brokeAtMs + STOP_CONFIRM_TIMEOUT_MS - monotonicMs();
+      const timeoutMs = proof
+        ? ENDED_CONFIRM_TIMEOUT_MS
+        : STOP_CONFIRM_TIMEOUT_MS;
+      const leftMs = brokeAtMs + timeoutMs - monotonicMs();
       const confirmation = action ? this.#execute(action) : this.#task;
       if (confirmation) await settleWithin(confirmation, Math.max(0, leftMs));
-      this.#advance({ type: "confirm_timed_out" });
+      this.#advance({ type: "confirm_timed_out" }, brokeAtMs);
     }
     this.#ended.abort();
     this.#isResuming = this.#state.type === "stopped";
