Believe only a refusal that names its request

An extra or late refusal (503, 429 or 421) of another request was taken for the answer to the one in progress, so that a request that may run once was free for a second runner, or was answered 503 as not run.

Cause: an answer that states that its request was not executed was accepted without a look at its request id.

Ruled out: answers that state an execution; their id was compared before.

Change: a refusal has to name the request. One without an id is accepted only on a connection that has carried no earlier request, since runners echo the id but a refusal before the request was read may lack it. Anything else is broken, that is, may have run.

--- a/packages/gateway/src/relay/run_attempt.ts
+++ b/packages/gateway/src/relay/run_attempt.ts
@@ -28,7 +28,8 @@
 
 /**
  * Sends one request on a connection and validates the response: it must carry
- * this request's id and be complete, and a successful one must be signed. Every
+ * this request's id and be complete, and a successful one must be signed. Only
+ * a refusal on a new connection may lack the id. Every
  * outcome except `answered` and `streamed` closes the connection.
  */
 export async function runAttempt(
@@ -101,7 +102,7 @@
     const exchange = connection.send(options, {
       onHead: (statusCode, headers) => {
         head = options.codec.decodeResponse(statusCode, headers);
-        const error = findResponseError(head, options.requestId);
+        const error = findResponseError(head, options.requestId, connection);
         if (error) {
           settle({ type: "broken", reason: error });
           return;
@@ -135,15 +136,21 @@
   return head.statusCode === 200 && head.isEventStream;
 }
 
-// Returns why a response is not a valid response to this request.
+// Returns why a response is not a valid response to this request. A refusal
+// without an id is valid only where no earlier request can have caused it.
 function findResponseError(
   head: RunnerResponse,
   requestId: string,
+  { isReused }: { readonly isReused: boolean },
 ): string | undefined {
-  if (head.execution !== "executed") return undefined;
+  const isRefusal = head.execution !== "executed";
+  if (isRefusal && head.requestId === undefined) {
+    return isReused ? "a refusal without a request id" : undefined;
+  }
   if (head.requestId !== requestId) {
     return "the answer belongs to another request";
   }
+  if (isRefusal) return undefined;
   const isSuccess = head.statusCode >= 200 && head.statusCode < 300;
   if (isSuccess && !head.isSigned) return "the answer is not signed";
   if (isSuccess && head.isEncoded) return "the answer's body is encoded";
