Bound what a runner may send besides an answer

What callers saw: a request to a runner that sends bytes without end was not answered; a load report or a stream of such a runner held a connection, and a body without end filled the memory.

Cause: each head of status 103 began the head's time-out anew; bodies were collected whatever their size; a stream of comments, of one token or of preemptions went on, and one that broke off on each connection was resumed without a pause for ever.

Ruled out: fields of one head, chunk extensions and trailers alone, which the HTTP client ends by size or time.

Change: limits in bytes and time on heads, on bytes beside a body, on buffered bodies, each and together, and on stream bytes without progress; a generation is lost after three connections that bring no valid stream. Silence does not count. The outcome is may_have_run once sent, and the loss counts against the runner as any other.

--- a/packages/jujubeladder/src/__tests__/generation_reader.test.ts
+++ b/packages/jujubeladder/src/__tests__/generation_reader.test.ts
@@ -2,7 +2,7 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import { Metrics } from "@jujubeladder/metrics";
-import { RawServer } from "@jujubeladder/standins";
+import { floodBytes, RawServer } from "@jujubeladder/standins";
 import { SealBox } from "@jujubeladder/utils";
 import type { AttemptResult } from "../relay/attempt_result.js";
 import { GenerationReader } from "../relay/generation_reader.js";
@@ -17,6 +17,12 @@
   return `id: ${offset}\ndata: ${chunk}\n\n`;
 }
 
+function formatEnd(tokenCount: number): string {
+  const choice = { delta: {}, finish_reason: "stop" };
+  const chunk = JSON.stringify({ id: GENERATION_ID, choices: [choice] });
+  return `id: ${tokenCount}\ndata: ${chunk}\n\n`;
+}
+
 /** Reads a generation that may have started from a server of raw bytes. */
 async function read(onRequest: (socket: Socket) => void): Promise<{
   readonly result: AttemptResult;
@@ -83,4 +89,31 @@
   assert.is(outcomeOf(result), "ran_incomplete");
 });
 
+test("a stream that only sends bytes without end is lost, not resumed for ever", async () => {
+  const { result, connectionCount } = await read((socket) => {
+    socket.write(STREAM_HEAD);
+    floodBytes(socket, ": no answer\n\n");
+  });
+  assert.is(outcomeOf(result), "ran_incomplete");
+  assert.is(connectionCount, 3);
+});
+
+test("heads without end are lost as may have run", async () => {
+  const { result } = await read((socket) => {
+    floodBytes(socket, "HTTP/1.1 103 Early Hints\r\n\r\n");
+  });
+  assert.is(outcomeOf(result), "may_have_run");
+});
+
+test("a stream that is silent several times goes on", async () => {
+  let connections = 0;
+  const { result, tokenCount } = await read((socket) => {
+    connections += 1;
+    if (connections < 5) socket.write(STREAM_HEAD);
+    else socket.end(STREAM_HEAD + formatToken(0) + formatEnd(1));
+  });
+  assert.is(result.type, "finished");
+  assert.is(tokenCount, 1);
+});
+
 test.run();
--- a/packages/jujubeladder/src/relay/generation_reader.ts
+++ b/packages/jujubeladder/src/relay/generation_reader.ts
@@ -1,6 +1,7 @@
 import type { GenerationEvent, StreamHandle } from "@jujubeladder/types";
 import {
   EngineClient,
+  type BreakCause,
   type EngineStream,
   type OpenOutcome,
 } from "@jujubeladder/upstream";
@@ -15,6 +16,8 @@
 import type { AttemptResult } from "./attempt_result.js";
 
 const STALL_THRESHOLD_MS = 500;
+/** Connections in a row that bring no token and what is no stream. */
+const MAX_INVALID_CONNECTIONS = 3;
 const CONNECTION_REFUSED = "ECONNREFUSED";
 
 const ABANDONED: Extract<AttemptResult, { type: "abandoned" }> = {
@@ -33,6 +36,9 @@
   readonly onProgress: (producedTokens: number) => void;
 }
 
+/** How reading one connection ended. */
+type ConnectionEnd = "finished" | BreakCause;
+
 /** Why a generation was lost, whether or not it had started. */
 interface Loss {
   readonly type: "lost";
@@ -84,6 +90,8 @@
     opened?: EngineStream,
   ): AsyncGenerator<GenerationEvent, AttemptResult, void> {
     let stream = opened;
+    let fruitlessCount = 0;
+    let invalidCount = 0;
     for (;;) {
       if (!stream) {
         const resumption = await this.#resume();
@@ -92,25 +100,38 @@
         stream = resumption.stream;
       }
       this.#hasStarted = true;
+      const offsetBefore = this.#nextOffset;
+      let end: ConnectionEnd;
       try {
-        if (yield* this.#readConnection(stream)) return { type: "finished" };
+        end = yield* this.#readConnection(stream);
       } finally {
         stream.close();
       }
+      if (end === "finished") return { type: "finished" };
       stream = undefined;
       if (this.#options.signal.aborted) return ABANDONED;
+      const isFruitless = this.#nextOffset === offsetBefore;
+      fruitlessCount = isFruitless ? fruitlessCount + 1 : 0;
+      invalidCount = isFruitless ? invalidCount : 0;
+      if (end === "invalid") invalidCount += 1;
+      if (invalidCount >= MAX_INVALID_CONNECTIONS) {
+        return this.#toLost(lost("the runner sends no valid stream", false));
+      }
+      if (end !== "silent" && fruitlessCount > 1) {
+        const backoffMs = computeBackoffMs(fruitlessCount - 2);
+        await sleep(backoffMs, this.#options.signal);
+      }
     }
   }
 
-  // Returns true if the generation was read to its end.
   async *#readConnection(
     stream: EngineStream,
-  ): AsyncGenerator<GenerationEvent, boolean, void> {
+  ): AsyncGenerator<GenerationEvent, ConnectionEnd, void> {
     for await (const event of stream.events) {
       switch (event.type) {
         case "token":
           if (event.offset < this.#nextOffset) continue;
-          if (event.offset > this.#nextOffset) return false;
+          if (event.offset > this.#nextOffset) return "invalid";
           this.#nextOffset += 1;
           this.#recordToken();
           yield {
@@ -124,18 +145,18 @@
           this.#options.metrics.count("preemptions_seen");
           continue;
         case "finished":
-          if (event.tokenCount !== this.#nextOffset) return false;
+          if (event.tokenCount !== this.#nextOffset) return "invalid";
           yield {
             type: "finished",
             finishReason: event.finishReason,
             tokenCount: event.tokenCount,
           };
-          return true;
+          return "finished";
         case "broken":
-          return false;
+          return event.cause;
       }
     }
-    return false;
+    return "closed";
   }
 
   async #resume(): Promise<Resumption> {
--- /dev/null
+++ b/packages/upstream/src/byte_budget.ts
@@ -0,0 +1,23 @@
+/** Limits how many bytes all users of the budget buffer together. */
+export class ByteBudget {
+  readonly #maxBytes: number;
+  #usedBytes = 0;
+
+  constructor(maxBytes: number) {
+    this.#maxBytes = maxBytes;
+  }
+
+  get usedBytes(): number {
+    return this.#usedBytes;
+  }
+
+  tryAcquire(bytes: number): boolean {
+    if (this.#usedBytes + bytes > this.#maxBytes) return false;
+    this.#usedBytes += bytes;
+    return true;
+  }
+
+  release(bytes: number): void {
+    this.#usedBytes -= bytes;
+  }
+}
--- a/packages/upstream/src/engine_client.ts
+++ b/packages/upstream/src/engine_client.ts
@@ -10,12 +10,16 @@
 import { cacheEventsSchema } from "./cache_events_schema.js";
 import type { OpenOutcome } from "./open_outcome.js";
 import { readEngineEvents } from "./read_engine_events.js";
+import { readBody } from "./read_body.js";
 import { readRefusal } from "./read_refusal.js";
 import type { RunnerAddress } from "./runner_address.js";
 import { runnerLoadSchema } from "./runner_load_schema.js";
 import { SingleUseClient } from "./single_use_client.js";
+import { toOrigin } from "./to_origin.js";
 
 const CONTROL_TIMEOUT_MS = 1_000;
+const CONTROL_BODY_TIMEOUT_MS = 2_000;
+const MAX_CONTROL_BYTES = 1_048_576;
 const ID_HEADER = "x-generation-id";
 
 type Method = "GET" | "POST" | "PUT" | "DELETE";
@@ -127,19 +131,23 @@
   ): Promise<
     Result<{ readonly statusCode: number; readonly text: string }, string>
   > {
-    const connection = new SingleUseClient(this.#address, {
-      headersTimeoutMs: CONTROL_TIMEOUT_MS,
-      bodyTimeoutMs: CONTROL_TIMEOUT_MS,
+    const connection = new SingleUseClient(toOrigin(this.#address), {
+      headTimeoutMs: CONTROL_TIMEOUT_MS,
+      silenceMs: CONTROL_TIMEOUT_MS,
+      bodyTimeoutMs: CONTROL_BODY_TIMEOUT_MS,
     });
     try {
-      const response = await connection.client.request({
+      const response = await connection.request({
         method,
         path,
         ...(body === undefined
           ? {}
           : { body, headers: { "content-type": "application/json" } }),
       });
-      const text = await response.body.text();
+      const bytes = await readBody(response.body, {
+        maxBytes: MAX_CONTROL_BYTES,
+      });
+      const text = new TextDecoder().decode(bytes);
       return { ok: true, value: { statusCode: response.statusCode, text } };
     } catch (error) {
       return { ok: false, error: describeError(error) };
@@ -156,12 +164,12 @@
       readonly signal: AbortSignal;
     },
   ): Promise<OpenOutcome> {
-    const connection = new SingleUseClient(this.#address, {
-      headersTimeoutMs: options.silenceMs,
-      bodyTimeoutMs: options.silenceMs,
+    const connection = new SingleUseClient(toOrigin(this.#address), {
+      headTimeoutMs: options.silenceMs,
+      silenceMs: options.silenceMs,
     });
     try {
-      const response = await connection.client.request({
+      const response = await connection.request({
         ...request,
         signal: options.signal,
       });
--- a/packages/upstream/src/engine_event.ts
+++ b/packages/upstream/src/engine_event.ts
@@ -1,3 +1,5 @@
+import type { BreakCause } from "./break_cause.js";
+
 /** An event of an engine's stream; `finished` and `broken` are the last. */
 export type EngineEvent =
   | { readonly type: "token"; readonly offset: number; readonly text: string }
@@ -10,5 +12,5 @@
   | {
       readonly type: "broken";
       readonly reason: string;
-      readonly isIdleTimeout: boolean;
+      readonly cause: BreakCause;
     };
--- a/packages/upstream/src/mod.ts
+++ b/packages/upstream/src/mod.ts
@@ -1,4 +1,5 @@
 /** Clients of runners: model engines and plain services. */
+export type { BreakCause } from "./break_cause.js";
 export type { CacheEvents } from "./cache_events.js";
 export { cacheEventsSchema } from "./cache_events_schema.js";
 export { EngineClient } from "./engine_client.js";
--- a/packages/upstream/src/plain_service_client.ts
+++ b/packages/upstream/src/plain_service_client.ts
@@ -1,10 +1,18 @@
 import { describeError, parseJson } from "@jujubeladder/utils";
+import { ByteBudget } from "./byte_budget.js";
 import type { PlainOutcome } from "./plain_outcome.js";
+import { readBody } from "./read_body.js";
 import { readRefusal } from "./read_refusal.js";
 import type { RunnerAddress } from "./runner_address.js";
 import { SingleUseClient } from "./single_use_client.js";
+import { toOrigin } from "./to_origin.js";
 
 const ID_HEADER = "x-request-id";
+const MAX_BODY_BYTES = 16 * 1_048_576;
+const MAX_BUFFERED_BYTES = 256 * 1_048_576;
+/** A longer request time-out extends it. */
+const BODY_TIMEOUT_MS = 60_000;
+const BODY_BUDGET = new ByteBudget(MAX_BUFFERED_BYTES);
 
 /** A fully buffered HTTP call to a plain service. */
 interface PlainCall {
@@ -46,19 +54,21 @@
 
   /**
    * Makes the call without retries. `timeoutMs` limits the wait for the
-   * headers and the time between body chunks.
+   * headers and the time between body chunks; the whole body has limits of its
+   * own.
    */
   async call(
     call: PlainCall,
     options: { readonly timeoutMs: number; readonly signal?: AbortSignal },
   ): Promise<PlainOutcome> {
-    const connection = new SingleUseClient(this.#address, {
-      headersTimeoutMs: options.timeoutMs,
-      bodyTimeoutMs: options.timeoutMs,
+    const connection = new SingleUseClient(toOrigin(this.#address), {
+      headTimeoutMs: options.timeoutMs,
+      silenceMs: options.timeoutMs,
+      bodyTimeoutMs: Math.max(options.timeoutMs, BODY_TIMEOUT_MS),
     });
     const hasBody = call.body.length > 0;
     try {
-      const response = await connection.client.request({
+      const response = await connection.request({
         method: call.method,
         path: call.path,
         headers: {
@@ -70,7 +80,10 @@
         body: hasBody ? call.body : null,
         ...(options.signal ? { signal: options.signal } : {}),
       });
-      const body = new Uint8Array(await response.body.arrayBuffer());
+      const body = await readBody(response.body, {
+        maxBytes: MAX_BODY_BYTES,
+        budget: BODY_BUDGET,
+      });
       const refusal = readRefusal(response, {
         idHeader: ID_HEADER,
         id: call.requestId,
--- /dev/null
+++ b/packages/upstream/src/single_use_response.ts
@@ -0,0 +1,6 @@
+/** Head of a response, and its body as it arrives. */
+export interface SingleUseResponse {
+  readonly statusCode: number;
+  readonly headers: Readonly<Record<string, string | string[] | undefined>>;
+  readonly body: AsyncIterable<Uint8Array>;
+}
