Take no token without an offset for the next one

What callers saw: a token of a garbled chunk could stand where another belongs.

Cause: a chunk without a numeric SSE id had the offset NaN, which is neither before nor after the expected one.

Evidence: read_engine_events.test.ts on the code before: the new case fails; now all cases of the file pass.

Change: such a chunk breaks the stream, which resumes at the expected offset.

--- a/packages/upstream/src/__tests__/read_engine_events.test.ts
+++ b/packages/upstream/src/__tests__/read_engine_events.test.ts
@@ -51,6 +51,13 @@
   assert.is(events.filter((event) => event.type === "token").length, PIECES);
 });
 
+test("a token without an offset is not taken for the next one", async () => {
+  for (const id of ["", "id: \n", "id: x\n", "id: 1.5\n"]) {
+    const [first] = await readAll([formatToken(id)]);
+    assert.ok(isInvalid(first), id);
+  }
+});
+
 test("heartbeats and silence may go on for a day", () => {
   for (const heartbeat of [": heartbeat\n\n", ": heartbeat\n", ":\r\n"]) {
     let nowMs = 0;
--- a/packages/upstream/src/read_engine_events.ts
+++ b/packages/upstream/src/read_engine_events.ts
@@ -16,6 +16,8 @@
   "UND_ERR_SOCKET",
 ]);
 
+const OFFSET = /^\d{1,15}$/;
+
 const chunkSchema = z.object({
   id: z.string(),
   choices: z
@@ -91,6 +93,9 @@
   if (parsed.data.id !== generationId) {
     return [broken("the chunk belongs to another generation", "invalid")];
   }
+  if (!OFFSET.test(message.id ?? "")) {
+    return [broken("the chunk has no offset", "invalid")];
+  }
   const offset = Number(message.id);
   const text = choice.delta.content;
   const finishReason = choice.finish_reason;
