Take no response that was reset for a whole one

What callers saw: a plain service's answer cut short, as completed.

Cause: the HTTP client ends a body that has no length with the connection, also when the connection was reset.

Ruled out: bodies with a length or in chunks, whose lack the client sees.

Evidence: endless_bytes.test.ts on the code before: the new case fails, answered instead of unknown; now all cases of the package pass.

Change: an error of the connection before the body's end fails the response.

--- a/packages/upstream/src/__tests__/endless_bytes.test.ts
+++ b/packages/upstream/src/__tests__/endless_bytes.test.ts
@@ -200,4 +200,12 @@
   assert.is((await readBody(toBody(4_000), options)).byteLength, 4_000);
 });
 
+test("a body without a length that is reset is not a whole answer", async () => {
+  const fault = await findFault(callPlainService, (socket) => {
+    socket.write(`${STATUS}connection: close\r\n\r\n{"receipt":`);
+    setTimeout(() => socket.resetAndDestroy(), 100);
+  });
+  assert.is(fault, undefined);
+});
+
 test.run();
--- a/packages/upstream/src/single_use_client.ts
+++ b/packages/upstream/src/single_use_client.ts
@@ -29,6 +29,7 @@
   readonly #client: Client;
   readonly #limits: ResponseLimits;
   #socket: Socket | undefined;
+  #socketError: Error | undefined;
   #timer: NodeJS.Timeout | undefined;
   #bodyBytes = 0;
 
@@ -78,10 +79,15 @@
       this.#bodyBytes += chunk.byteLength;
       yield chunk;
     }
+    // A body that ends with the connection looks whole after a reset, too.
+    if (this.#socketError) throw this.#socketError;
   }
 
   #watch(socket: Socket): void {
     this.#socket = socket;
+    socket.once("error", (error) => {
+      this.#socketError = error;
+    });
     socket.on("readable", () => {
       const overheadBytes = socket.bytesRead - this.#bodyBytes;
       const maxBytes =
