Bound what the platform may send besides an answer

What callers saw: an instance that the platform answers with bytes without end keeps its old configuration and instance list, and no other call is tried.

Cause: heads of status 103 and a body without end went on for ever.

Ruled out: one head and a chunk extension without end, which ended before.

Change: the client of the runners' packages, one connection a call, a limit in bytes and time on each body.

--- a/packages/configuration/src/platform_client.ts
+++ b/packages/configuration/src/platform_client.ts
@@ -1,11 +1,12 @@
-import { Agent, request, type Dispatcher } from "undici";
 import type { InstanceList, Result } from "@jujubeladder/types";
+import { readBody, SingleUseClient } from "@jujubeladder/upstream";
 import { describeError } from "@jujubeladder/utils";
 import { instanceListSchema } from "./instance_list_schema.js";
 
-const CONNECT_TIMEOUT_MS = 1_000;
 /** Timeout for the head, on top of the long-poll wait, and for body data. */
 const RESPONSE_TIMEOUT_MS = 2_000;
+const BODY_TIMEOUT_MS = 10_000;
+const MAX_BODY_BYTES = 16 * 1_048_576;
 
 /** Result of a long poll: a new value, or none within the wait. */
 type WatchResult<Value> =
@@ -16,16 +17,11 @@
 export class PlatformClient {
   readonly #baseUrl: string;
   readonly #waitMs: number;
-  readonly #dispatcher: Dispatcher;
+  readonly #connections = new Set<SingleUseClient>();
 
   constructor(options: { readonly baseUrl: string; readonly waitMs: number }) {
     this.#baseUrl = options.baseUrl;
     this.#waitMs = options.waitMs;
-    this.#dispatcher = new Agent({
-      connect: { timeout: CONNECT_TIMEOUT_MS },
-      headersTimeout: options.waitMs + RESPONSE_TIMEOUT_MS,
-      bodyTimeout: RESPONSE_TIMEOUT_MS,
-    });
   }
 
   /** Long poll for a document whose revision differs from the known one. */
@@ -51,21 +47,30 @@
     return parseInstanceList(watched.value.value);
   }
 
-  async close(): Promise<void> {
-    await this.#dispatcher.destroy();
+  /** Ends all calls. */
+  close(): void {
+    for (const connection of this.#connections) connection.close();
   }
 
   async #watch(
     path: string,
     signal: AbortSignal,
   ): Promise<Result<WatchResult<string>, string>> {
+    const url = new URL(`${this.#baseUrl}${path}&wait_ms=${this.#waitMs}`);
+    const connection = new SingleUseClient(url.origin, {
+      headTimeoutMs: this.#waitMs + RESPONSE_TIMEOUT_MS,
+      silenceMs: RESPONSE_TIMEOUT_MS,
+      bodyTimeoutMs: BODY_TIMEOUT_MS,
+    });
+    this.#connections.add(connection);
     try {
-      const url = `${this.#baseUrl}${path}&wait_ms=${this.#waitMs}`;
-      const response = await request(url, {
-        dispatcher: this.#dispatcher,
+      const response = await connection.request({
+        method: "GET",
+        path: `${url.pathname}${url.search}`,
         signal,
       });
-      const text = await response.body.text();
+      const body = await readBody(response.body, { maxBytes: MAX_BODY_BYTES });
+      const text = new TextDecoder().decode(body);
       switch (response.statusCode) {
         case 200:
           return { ok: true, value: { type: "changed", value: text } };
@@ -76,6 +81,9 @@
       }
     } catch (error) {
       return { ok: false, error: describeError(error) };
+    } finally {
+      this.#connections.delete(connection);
+      connection.close();
     }
   }
 }
--- a/packages/jujubeladder/src/entry/entry_instance.ts
+++ b/packages/jujubeladder/src/entry/entry_instance.ts
@@ -159,7 +159,7 @@
     this.#adminServer?.closeAllConnections();
     this.#peerServer?.close();
     this.#coordination.directory.close();
-    await this.#platform.close();
+    this.#platform.close();
     this.#logger.info("stopped");
   }
 
