Bound the memory of answers and events under way

Cause: each answer could buffer 8 MB (16 MB for store and control calls), with no bound in sum, and kept a buffer object for each chunk, which for chunks of one byte takes many times their size. The event splitter copied and searched all pending bytes again for each chunk, threw inside the client's callback at its limit, and took comments and blank lines for events, so that they ended the time to the first byte.

Change: answers and pending events are collected in one buffer each; what exceeds 64 KiB of one is taken from 32 MiB that the process shares, so that floods leave ordinary answers be. Control responses have at most 1 MiB. The splitter searches each byte once, reports its limit as a value, and adds blocks without an id or data to the event that follows. A silent stream is ended no sooner than before.

--- a/packages/gateway/src/relay/run_attempt.ts
+++ b/packages/gateway/src/relay/run_attempt.ts
@@ -1,5 +1,6 @@
 import type { GatewayCodec } from "../model/gateway_codec.js";
 import type { RunnerResponse } from "../model/runner_response.js";
+import { ByteCollector } from "../transport/byte_collector.js";
 import type { HttpConnection } from "../transport/http_connection.js";
 import type { AttemptConnection } from "./attempt_connection.js";
 import type { AttemptOutcome } from "./attempt_outcome.js";
@@ -41,10 +42,9 @@
   readonly connection: AttemptConnection;
 }> {
   return await new Promise((resolve) => {
-    const chunks: Buffer[] = [];
+    const body = new ByteCollector(MAX_BUFFERED_BYTES);
     const splitter = new EventSplitter();
     const { receiver } = options;
-    let byteCount = 0;
     let head: RunnerResponse | undefined;
     let isStream = false;
     let isSettled = false;
@@ -66,6 +66,8 @@
       if (!isComplete) {
         connection.close();
       }
+      body.clear();
+      splitter.clear();
       resolve({ outcome, head, connection: { isReused, sentBytes, endedBy } });
     };
     const onCallerDisconnect = () => {
@@ -86,7 +88,12 @@
 
     const forwardEvents = (chunk: Buffer): boolean => {
       let isPaused = false;
-      for (const event of splitter.push(chunk)) {
+      const events = splitter.push(chunk);
+      if (!events.ok) {
+        settle({ type: "broken", reason: events.error });
+        return true;
+      }
+      for (const event of events.value) {
         clearTimeout(firstByteTimer);
         const result = receiver?.onEvent(event);
         if (result === "out_of_order") {
@@ -112,17 +119,16 @@
         else clearTimeout(firstByteTimer);
       },
       onData: (chunk) => {
+        if (isSettled) return true;
         if (isStream) return forwardEvents(chunk);
-        byteCount += chunk.length;
-        if (byteCount > MAX_BUFFERED_BYTES) {
-          settle({ type: "broken", reason: "the answer is too long" });
-        } else {
-          chunks.push(chunk);
-        }
+        const error = body.append(chunk);
+        if (error) settle({ type: "broken", reason: error });
         return true;
       },
       onEnd: () => {
-        settle(toOutcome(head, { isStream, splitter, chunks }));
+        const rest = splitter.takeRest();
+        if (rest) receiver?.onEvent(rest);
+        settle(toOutcome(head, { isStream, splitter, body }));
       },
       onError: (reason) => {
         settle({ type: "broken", reason });
@@ -162,7 +168,7 @@
   received: {
     readonly isStream: boolean;
     readonly splitter: EventSplitter;
-    readonly chunks: readonly Buffer[];
+    readonly body: ByteCollector;
   },
 ): AttemptOutcome {
   if (!head) return { type: "broken", reason: "the answer has no head" };
@@ -175,7 +181,7 @@
       break;
   }
   if (!received.isStream) {
-    return { type: "answered", head, body: Buffer.concat(received.chunks) };
+    return { type: "answered", head, body: received.body.bytes };
   }
   return received.splitter.hasPartial
     ? { type: "broken", reason: "the stream ended within an event" }
--- a/packages/gateway/src/transport/send_and_buffer.ts
+++ b/packages/gateway/src/transport/send_and_buffer.ts
@@ -1,9 +1,7 @@
 import type { Result } from "@jujubeladder/types";
+import { ByteCollector } from "./byte_collector.js";
 import type { HttpConnection } from "./http_connection.js";
 
-/** Limit on a response body; larger than any page of the store. */
-const MAX_RESPONSE_BYTES = 16 * 1_048_576;
-
 /** A response with its body buffered. */
 interface BufferedResponse {
   readonly statusCode: number;
@@ -22,14 +20,18 @@
     readonly headers: string[];
     readonly body: Buffer | null;
     readonly timeoutMs: number;
+    /** Limit for the response's body. */
+    readonly maxBodyBytes: number;
   },
 ): Promise<Result<BufferedResponse, string>> {
   return await new Promise((resolve) => {
-    const chunks: Buffer[] = [];
-    let byteCount = 0;
+    const body = new ByteCollector(call.maxBodyBytes);
     let statusCode = 0;
+    let isSettled = false;
     const settle = (result: Result<BufferedResponse, string>) => {
+      isSettled = true;
       clearTimeout(timer);
+      body.clear();
       if (!result.ok) connection.close();
       resolve(result);
     };
@@ -41,18 +43,13 @@
         statusCode = status;
       },
       onData: (chunk) => {
-        byteCount += chunk.length;
-        if (byteCount > MAX_RESPONSE_BYTES) {
-          settle({ ok: false, error: "the answer is too long" });
-        }
-        chunks.push(chunk);
+        if (isSettled) return true;
+        const error = body.append(chunk);
+        if (error) settle({ ok: false, error });
         return true;
       },
       onEnd: () => {
-        settle({
-          ok: true,
-          value: { statusCode, body: Buffer.concat(chunks) },
-        });
+        settle({ ok: true, value: { statusCode, body: body.bytes } });
       },
       onError: (reason) => {
         settle({ ok: false, error: reason });
