Close connections that send bytes beside an answer

What callers saw: 504 at the deadline instead of a prompt failure when a runner sent blank lines, a reason phrase, spaces, chunk extensions or trailers without end, and store reads that took until their time-out. A single informational head made a good answer a broken one.

Cause: the client limits the names and values of a head (16 KB) but none of what it skips, and reports informational heads like the answer's. A blank line after an answer left the connection in use.

Change: an answer has at most 64 KiB of bytes that are not its body, and as many more as its body has; bytes that arrive before the request is written, or after the answer, close the connection. Informational heads are passed over and count as such bytes. An error of our own parser no longer counts as the other end's close.

Ruled out: time. Requests have their deadline, all other calls a time-out over head and body; a head that drips ends at these, before and after.

Evidence: endless_bytes.test.ts plays 19 floods against the request path and 14 against store and control calls, drips, surplus bytes, and 50 floods at once (growth below 128 MB).

--- a/packages/gateway/src/transport/http_connection.ts
+++ b/packages/gateway/src/transport/http_connection.ts
@@ -6,10 +6,23 @@
 import type { ResponseSink } from "./response_sink.js";
 import type { Exchange } from "./exchange.js";
 
+const STATUS_OK = 200;
 /** Idle time before TCP keep-alive probes. */
 const TCP_PROBE_DELAY_MS = 1_000;
 /** Upper limit only; the pool closes idle connections far earlier. */
 const CLIENT_IDLE_TIMEOUT_MS = 60_000;
+/** Limit for the names and values of one head, and of the trailers. */
+const MAX_HEADER_BYTES = 16 * 1_024;
+/**
+ * Limit for the bytes of a response that are not its body: what precedes the
+ * head, informational heads, the head, chunk sizes and extensions, trailers.
+ */
+const MAX_FRAMING_BYTES = 64 * 1_024;
+/**
+ * Further framing per byte of the body; a chunk takes at least five bytes of
+ * it, so that a body can't consist of millions of tiny chunks.
+ */
+const MAX_FRAMING_PER_BODY_BYTE = 1;
 
 /** Address of the other end. */
 interface Endpoint {
@@ -17,7 +30,16 @@
   readonly port: number;
 }
 
-/** One HTTP/1.1 connection, for one request at a time. */
+/** A request in progress. */
+interface Current {
+  readonly fail: (reason: string) => void;
+  bodyBytes: number;
+}
+
+/**
+ * One HTTP/1.1 connection, for one request at a time. It closes when bytes
+ * arrive that no request asked for, or more than a response may have.
+ */
 export class HttpConnection {
   readonly #client: Client;
   readonly #socket: Socket;
@@ -26,14 +48,17 @@
   #hasPeerEnded = false;
   #sendCount = 0;
   #bytesBeforeSend = 0;
+  #bytesReadBefore = 0;
+  #current: Current | undefined;
 
   private constructor(socket: Socket, endpoint: Endpoint) {
     this.#socket = socket;
     // Must run before the client's own listener, because the client treats a
     // reset as the regular end of a response without a content length.
-    socket.on("error", () => {
+    socket.on("error", (error) => {
       this.#hasFailed = true;
-      this.#hasPeerEnded = true;
+      // The client destroys the socket with errors of its own, too.
+      this.#hasPeerEnded ||= "syscall" in error;
     });
     socket.on("end", () => {
       this.#hasPeerEnded = true;
@@ -53,12 +78,19 @@
         });
       },
       pipelining: 1,
+      maxHeaderSize: MAX_HEADER_BYTES,
       headersTimeout: 0,
       bodyTimeout: 0,
       keepAliveTimeout: CLIENT_IDLE_TIMEOUT_MS,
       keepAliveMaxTimeout: CLIENT_IDLE_TIMEOUT_MS,
     });
     this.#client.on("disconnect", () => undefined);
+    // Runs after the client's own listener, which has then parsed the bytes.
+    this.#client.once("connect", () => {
+      socket.on("readable", () => {
+        this.#checkBytes();
+      });
+    });
   }
 
   /** Opens a connection; an error means that nothing was sent. */
@@ -99,7 +131,9 @@
   /** False once either end has closed the connection or it has failed. */
   get isOpen(): boolean {
     const { destroyed, readable, writable } = this.#socket;
-    return !this.#client.destroyed && !destroyed && readable && writable;
+    const hasSurplus = !this.#current && this.#newBytes > 0;
+    const isUsable = !destroyed && readable && writable && !hasSurplus;
+    return !this.#client.destroyed && isUsable;
   }
 
   get idleMs(): number {
@@ -139,8 +173,20 @@
       if (isDone) return;
       isDone = true;
       this.#idleSinceMs = monotonicMs();
+      this.#bytesReadBefore += this.#newBytes;
+      this.#current = undefined;
       report();
     };
+    const current: Current = {
+      fail: (reason) => {
+        end(() => {
+          sink.onError(reason);
+        });
+        this.close();
+      },
+      bodyBytes: 0,
+    };
+    this.#current = current;
     this.#client.dispatch(
       {
         method: request.method as Dispatcher.HttpMethod,
@@ -154,9 +200,11 @@
           if (isDone) started.abort(new Error("cancelled"));
         },
         onResponseStart: (_controller, statusCode, headers) => {
-          if (!isDone) sink.onHead(statusCode, headers);
+          const isInformational = statusCode < STATUS_OK;
+          if (!isDone && !isInformational) sink.onHead(statusCode, headers);
         },
         onResponseData: (started, chunk) => {
+          current.bodyBytes += chunk.length;
           if (!isDone && !sink.onData(chunk)) started.pause();
         },
         onResponseEnd: () => {
@@ -187,4 +235,31 @@
     this.#socket.destroy();
     void this.#client.destroy();
   }
+
+  // Bytes that the client has parsed since the last request was sent or, while
+  // none is in progress, since the last response.
+  get #newBytes(): number {
+    const { bytesRead, readableLength } = this.#socket;
+    return bytesRead - readableLength - this.#bytesReadBefore;
+  }
+
+  #checkBytes(): void {
+    const newBytes = this.#newBytes;
+    if (newBytes === 0) return;
+    const current = this.#current;
+    if (!current) {
+      this.close();
+      return;
+    }
+    if (this.sentBytes === 0) {
+      current.fail("bytes arrived before the request was sent");
+      return;
+    }
+    const { bodyBytes } = current;
+    const maxFramingBytes =
+      MAX_FRAMING_BYTES + bodyBytes * MAX_FRAMING_PER_BODY_BYTE;
+    if (newBytes - bodyBytes > maxFramingBytes) {
+      current.fail("the answer has too many bytes beside its body");
+    }
+  }
 }
