Bound what a peer may send besides calls

What callers saw: a peer that sends bytes without end holds a connection of each instance that it calls for ever, or fills its memory with one response.

--- a/packages/coordination/src/peer_directory.ts
+++ b/packages/coordination/src/peer_directory.ts
@@ -4,6 +4,9 @@
 import type { Instance } from "@jujubeladder/types";
 import { PeerSession } from "./peer_session.js";
 
+/** A plain service's largest answer, and what describes it. */
+const MAX_RESPONSE_BYTES = 32 * 1_048_576;
+
 interface Entry {
   readonly url: string;
   readonly client: Client<typeof PeerService>;
@@ -57,6 +60,7 @@
     baseUrl: url,
     httpVersion: "2",
     sessionManager: session,
+    readMaxBytes: MAX_RESPONSE_BYTES,
   });
   return { url, session, client: createClient(PeerService, transport) };
 }
