Let explain tell when a request may be sent again

Operators asked after an incident which requests can reach a second runner; the answer was spread over the code.

--- a/packages/jujubeladder/src/entry/entry_instance.ts
+++ b/packages/jujubeladder/src/entry/entry_instance.ts
@@ -12,7 +12,6 @@
   watchConfig,
   watchInstances,
 } from "@jujubeladder/configuration";
-import type { PlacementDecision } from "@jujubeladder/scheduling";
 import type { SubmissionResult, Ticket } from "@jujubeladder/types";
 import { SealBox, sleep } from "@jujubeladder/utils";
 import { createAdminApp } from "../http/create_admin_app.js";
@@ -28,6 +27,7 @@
 import { EntryScheduling } from "./entry_scheduling.js";
 import { EntryViews } from "./entry_views.js";
 import { explainPlacement } from "./explain_placement.js";
+import type { Explanation } from "./explanation.js";
 import { serve } from "./serve.js";
 
 const HANDLE_PURPOSE = "stream handle";
@@ -259,9 +259,7 @@
       .map((service) => service.serviceId);
   }
 
-  #explain(
-    query: Readonly<Record<string, unknown>>,
-  ): PlacementDecision | { readonly type: "unknown_service" } {
+  #explain(query: Readonly<Record<string, unknown>>): Explanation {
     const { document } = this.#views.config;
     return explainPlacement(query, document, (serviceId) =>
       this.#scheduling.getScheduler(serviceId),
--- a/packages/jujubeladder/src/entry/explain_placement.ts
+++ b/packages/jujubeladder/src/entry/explain_placement.ts
@@ -1,15 +1,17 @@
 import { resolveSettings } from "@jujubeladder/configuration";
-import type { PlacementDecision, Scheduler } from "@jujubeladder/scheduling";
+import type { Scheduler } from "@jujubeladder/scheduling";
 import type { ConfigDocument } from "@jujubeladder/types";
+import { describeRetries } from "./describe_retries.js";
+import type { Explanation } from "./explanation.js";
 
 const DEFAULT_PROMPT_TOKENS = 100;
 
-/** Returns the placement decision for a hypothetical request. */
+/** Returns what would be decided about a hypothetical request. */
 export function explainPlacement(
   query: Readonly<Record<string, unknown>>,
   document: ConfigDocument | undefined,
   getScheduler: (serviceId: string) => Scheduler,
-): PlacementDecision | { readonly type: "unknown_service" } {
+): Explanation {
   const serviceId = String(query["service"] ?? "");
   const service = document?.services.find((s) => s.serviceId === serviceId);
   if (!document || service?.type !== "engine") {
@@ -23,7 +25,7 @@
   const kind = requestedKind ?? service.kinds[0];
   if (!kind) return { type: "unknown_service" };
   const settings = resolveSettings(document, { serviceId, teamId });
-  return getScheduler(serviceId).decide({
+  const decision = getScheduler(serviceId).decide({
     requestId: "explain",
     serviceId,
     teamId,
@@ -36,4 +38,7 @@
     settings,
     excludedRunnerIds: new Set(),
   });
+  const { isIdempotent } = service;
+  const retries = describeRetries(isIdempotent, settings.maxAttempts);
+  return { ...decision, retries };
 }
--- a/packages/jujubeladder/src/http/create_admin_app.ts
+++ b/packages/jujubeladder/src/http/create_admin_app.ts
@@ -1,15 +1,13 @@
 import express, { type Express } from "express";
-import type { PlacementDecision } from "@jujubeladder/scheduling";
 import type { Metrics } from "@jujubeladder/metrics";
+import type { Explanation } from "../entry/explanation.js";
 
 /** Dependencies of the admin endpoints. */
 interface AdminContext {
   readonly metrics: Metrics;
   readonly isReady: () => boolean;
   readonly describeStatus: () => Readonly<Record<string, unknown>>;
-  readonly explain: (
-    query: Readonly<Record<string, unknown>>,
-  ) => PlacementDecision | { readonly type: "unknown_service" };
+  readonly explain: (query: Readonly<Record<string, unknown>>) => Explanation;
 }
 
 /** Admin endpoints: liveness, readiness, metrics, status and explain. */
