Take no time-out of a connection for its end by the runner

What callers saw: nothing yet; found in review of the stop proofs. A stream whose connection failed with ETIMEDOUT would have counted as ended by the runner, and its run could have gone on elsewhere without another proof.

Cause: any error of a system call counted as the other end's act.

--- a/packages/gateway/src/transport/http_connection.ts
+++ b/packages/gateway/src/transport/http_connection.ts
@@ -3,6 +3,7 @@
 import { Client, type Dispatcher } from "undici";
 import type { Result } from "@jujubeladder/types";
 import { describeError, monotonicMs } from "@jujubeladder/utils";
+import { hasPeerReset } from "./has_peer_reset.js";
 import type { ResponseSink } from "./response_sink.js";
 import type { Exchange } from "./exchange.js";
 
@@ -57,8 +58,7 @@
     // reset as the regular end of a response without a content length.
     socket.on("error", (error) => {
       this.#hasFailed = true;
-      // The client destroys the socket with errors of its own, too.
-      this.#hasPeerEnded ||= "syscall" in error;
+      this.#hasPeerEnded ||= hasPeerReset(error);
     });
     socket.on("end", () => {
       this.#hasPeerEnded = true;
