--- a/packages/gateway/src/__tests__/byte_collector.test.ts
+++ b/packages/gateway/src/__tests__/byte_collector.test.ts
@@ -1,6 +1,6 @@
+import { ByteBudget } from "@jujubeladder/utils";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import { ByteBudget } from "../transport/byte_budget.js";
 import { ByteCollector } from "../transport/byte_collector.js";
 
 const CHUNK = Buffer.alloc(65_536, "x");
--- a/packages/gateway/src/transport/byte_collector.ts
+++ b/packages/gateway/src/transport/byte_collector.ts
@@ -1,4 +1,4 @@
-import type { ByteBudget } from "./byte_budget.js";
+import type { ByteBudget } from "@jujubeladder/utils";
 import { RESPONSE_MEMORY } from "./response_memory.js";
 
 /** Capacity that is not shared, so that floods leave ordinary responses be. */
@@ -57,7 +57,7 @@
       Math.max(MIN_CAPACITY_BYTES, length, 2 * this.#buffer.length),
     );
     const sharedBytes = Math.max(0, capacity - UNSHARED_BYTES);
-    if (!this.#memory.tryTake(sharedBytes - this.#sharedBytes)) return false;
+    if (!this.#memory.tryAcquire(sharedBytes - this.#sharedBytes)) return false;
     this.#sharedBytes = sharedBytes;
     const grown = Buffer.allocUnsafe(capacity);
     this.bytes.copy(grown);
--- a/packages/gateway/src/transport/response_memory.ts
+++ b/packages/gateway/src/transport/response_memory.ts
@@ -1,4 +1,4 @@
-import { ByteBudget } from "./byte_budget.js";
+import { ByteBudget } from "@jujubeladder/utils";
 
 /** A fifth of the memory of a small machine, which has 178 MB. */
 const MAX_RESPONSE_MEMORY_BYTES = 32 * 1_048_576;
--- a/packages/upstream/src/plain_service_client.ts
+++ b/packages/upstream/src/plain_service_client.ts
@@ -1,5 +1,4 @@
-import { describeError, parseJson } from "@jujubeladder/utils";
-import { ByteBudget } from "./byte_budget.js";
+import { ByteBudget, describeError, parseJson } from "@jujubeladder/utils";
 import type { PlainOutcome } from "./plain_outcome.js";
 import { readBody } from "./read_body.js";
 import { readRefusal } from "./read_refusal.js";
--- a/packages/upstream/src/read_body.ts
+++ b/packages/upstream/src/read_body.ts
@@ -1,4 +1,4 @@
-import type { ByteBudget } from "./byte_budget.js";
+import type { ByteBudget } from "@jujubeladder/utils";
 
 const INITIAL_BYTES = 4_096;
 
--- a/packages/gateway/src/transport/byte_budget.ts
+++ b/packages/utils/src/byte_budget.ts
@@ -12,7 +12,7 @@
   }
 
   /** Takes the bytes; false if they are not available. */
-  tryTake(bytes: number): boolean {
+  tryAcquire(bytes: number): boolean {
     if (this.#usedBytes + bytes > this.#maxBytes) return false;
     this.#usedBytes += bytes;
     return true;
--- a/packages/utils/src/mod.ts
+++ b/packages/utils/src/mod.ts
@@ -1,4 +1,5 @@
-/** Clocks, deadlines, backoff, sealing and hashing. */
+/** Byte budgets, clocks, deadlines, backoff, sealing and hashing. */
+export { ByteBudget } from "./byte_budget.js";
 export type { ClockReading } from "./clock_reading.js";
 export { computeBackoffMs } from "./compute_backoff_ms.js";
 export { computeFingerprint } from "./compute_fingerprint.js";
