Believe no refusal that has a status of success

Callers whose at-most-once request got a 200 with the not-executed mark from a faulty runner had it sent to the next runner, and a 503 in the end, although nothing is known about whether it ran.

The check of a response took the mark alone for a refusal. The protocol states refusals with 400, 421, 429 and 503 only; the client of the other serving path already asks for the status. A marked response below 400 is now broken: the request may have run.

The new case in outcomes.test.ts failed before (503 instead of 502) and passes now, as do the other 16.

--- a/packages/gateway/src/relay/run_attempt.ts
+++ b/packages/gateway/src/relay/run_attempt.ts
@@ -9,6 +9,8 @@
 
 /** Limit for a response that is buffered before it is forwarded. */
 const MAX_BUFFERED_BYTES = 8 * 1_048_576;
+/** A runner states a refusal with a client or server error. */
+const MIN_REFUSAL_STATUS = 400;
 
 /** Request data and limits of one attempt. */
 interface AttemptOptions {
@@ -150,6 +152,9 @@
   { isReused }: { readonly isReused: boolean },
 ): string | undefined {
   const isRefusal = head.execution !== "executed";
+  if (isRefusal && head.statusCode < MIN_REFUSAL_STATUS) {
+    return `a refusal with status ${head.statusCode}`;
+  }
   if (isRefusal && head.requestId === undefined) {
     return isReused ? "a refusal without a request id" : undefined;
   }
