Give reads of the store a memory budget of their own

While long answers of runners take their memory, an instance's reads of the store of more than 64 KiB failed with "answers under way take too much memory", so that configuration changes could not arrive.

Store reads shared the 32 MiB of the runners' responses. Control calls to runners keep the shared one.

--- a/packages/gateway/src/transport/send_and_buffer.ts
+++ b/packages/gateway/src/transport/send_and_buffer.ts
@@ -1,4 +1,5 @@
 import type { Result } from "@jujubeladder/types";
+import type { ByteBudget } from "@jujubeladder/utils";
 import { ByteCollector } from "./byte_collector.js";
 import type { HttpConnection } from "./http_connection.js";
 
@@ -22,10 +23,12 @@
     readonly timeoutMs: number;
     /** Limit for the response's body. */
     readonly maxBodyBytes: number;
+    /** Memory for the body; that of the runners' responses if absent. */
+    readonly memory?: ByteBudget;
   },
 ): Promise<Result<BufferedResponse, string>> {
   return await new Promise((resolve) => {
-    const body = new ByteCollector(call.maxBodyBytes);
+    const body = new ByteCollector(call.maxBodyBytes, call.memory);
     let statusCode = 0;
     let isSettled = false;
     const settle = (result: Result<BufferedResponse, string>) => {
