Send a request elsewhere if no byte of it was written

An at-most-once request was given up as one that may have run, which its caller sees as a 502, when the runner sent bytes or reset the connection after it was open and before the request was written.

Each failure of a connection ended the attempt as broken. It is now not sent if the socket has taken no byte of the request. The socket counts what is handed to the system, also after it is destroyed; such bytes count as sent even if they were lost, and an attempt that fails after them is broken as before.

Not run: the same through a whole instance, where the early bytes must arrive between opening the connection and writing the request. Blank lines before the head are no failure: the HTTP client skips them and sends the request.

--- a/packages/gateway/src/relay/run_attempt.ts
+++ b/packages/gateway/src/relay/run_attempt.ts
@@ -14,7 +14,7 @@
 
 /** Request data and limits of one attempt. */
 interface AttemptOptions {
-  readonly codec: GatewayCodec;
+  readonly codec: Pick<GatewayCodec, "decodeResponse">;
   readonly requestId: string;
   readonly method: string;
   readonly target: string;
@@ -133,7 +133,8 @@
         settle(toOutcome(head, { isStream, splitter, body }));
       },
       onError: (reason) => {
-        settle({ type: "broken", reason });
+        const type = connection.sentBytes === 0 ? "not_sent" : "broken";
+        settle({ type, reason });
       },
     });
     if (options.signal.aborted) onCallerDisconnect();
--- a/packages/gateway/src/transport/http_connection.ts
+++ b/packages/gateway/src/transport/http_connection.ts
@@ -155,7 +155,10 @@
     return this.#hasPeerEnded;
   }
 
-  /** Sends a request; after this call the runner may have executed it. */
+  /**
+   * Sends a request; after this call the runner may have executed it, unless
+   * the request has failed and `sentBytes` is 0.
+   */
   send(
     request: {
       readonly method: string;
