Take a whole body for whole if a reset follows it

A runner that sent its whole answer and then reset the connection made the request one that may have run, and the caller lost the answer.

The client of a single request failed each body after an error of the socket, although only one that ends with the connection can be cut unnoticed. It now does so unless the head has a content length or a transfer coding that ends in chunked. The HTTP client itself reports a cut body that has either; transfer codings without chunked end with the connection, too, and stay failures.

Both new cases with whole bodies failed before, on a kept and on a closing connection. Both with cut ones (short length, missing last chunk, missing end of the trailers, no chunked coding, no length) passed before and pass now, as do the other 16 of the file.

--- a/packages/upstream/src/__tests__/endless_bytes.test.ts
+++ b/packages/upstream/src/__tests__/endless_bytes.test.ts
@@ -207,4 +207,51 @@
   assert.is(fault, undefined);
 });
 
+/** Reads a body only after the server has reset its connection. */
+async function readAfterReset(text: string): Promise<string> {
+  const server = new RawServer((socket) => {
+    socket.write(text);
+    setTimeout(() => socket.resetAndDestroy(), 50);
+  });
+  const address = { host: "127.0.0.1", port: await server.start() };
+  const client = new SingleUseClient(toOrigin(address), {
+    headTimeoutMs: TIMEOUT_MS,
+    silenceMs: TIMEOUT_MS,
+  });
+  try {
+    const { body } = await client.request({ method: "GET", path: "/" });
+    await sleep(150);
+    const bytes = await readBody(body, { maxBytes: 1_000 });
+    return Buffer.from(bytes).toString();
+  } catch {
+    return "failed";
+  } finally {
+    client.close();
+    server.stop();
+  }
+}
+
+for (const header of ["", "connection: close\r\n"]) {
+  const start = `${STATUS}${header}`;
+  const chunked = `${start}transfer-encoding: chunked\r\n\r\n`;
+  const name = header === "" ? "kept" : "closing";
+  test(`a whole body on a ${name} connection survives a reset`, async () => {
+    const sized = `${start}content-length: 2\r\n\r\nok`;
+    assert.is(await readAfterReset(sized), "ok");
+    assert.is(await readAfterReset(`${chunked}2\r\nok\r\n0\r\n\r\n`), "ok");
+  });
+  test(`a part of a body on a ${name} connection fails`, async () => {
+    const parts = [
+      `${start}content-length: 3\r\n\r\nok`,
+      `${chunked}2\r\nok\r\n`,
+      `${chunked}2\r\nok\r\n0\r\n`,
+      `${start}transfer-encoding: gzip\r\n\r\nok`,
+      `${start}\r\nok`,
+    ];
+    for (const part of parts) {
+      assert.is(await readAfterReset(part), "failed", part);
+    }
+  });
+}
+
 test.run();
--- a/packages/upstream/src/single_use_client.ts
+++ b/packages/upstream/src/single_use_client.ts
@@ -64,7 +64,8 @@
     if (bodyTimeoutMs !== undefined) {
       this.#failAfter(bodyTimeoutMs, "the body did not end in time");
     }
-    return { statusCode, headers, body: this.#readBody(response.body) };
+    const body = this.#readBody(response.body, endsWithConnection(headers));
+    return { statusCode, headers, body };
   }
 
   close(): void {
@@ -74,13 +75,14 @@
 
   async *#readBody(
     body: AsyncIterable<Uint8Array>,
+    isEndAmbiguous: boolean,
   ): AsyncGenerator<Uint8Array, void, void> {
     for await (const chunk of body) {
       this.#bodyBytes += chunk.byteLength;
       yield chunk;
     }
     // A body that ends with the connection looks whole after a reset, too.
-    if (this.#socketError) throw this.#socketError;
+    if (isEndAmbiguous && this.#socketError) throw this.#socketError;
   }
 
   #watch(socket: Socket): void {
@@ -118,3 +120,11 @@
     this.#timer = timer;
   }
 }
+
+// True if only the end of the connection delimits the body. The client fails
+// other bodies that are not whole.
+function endsWithConnection(headers: SingleUseResponse["headers"]): boolean {
+  const coding = headers["transfer-encoding"];
+  if (coding === undefined) return headers["content-length"] === undefined;
+  return !/(?:^|,)\s*chunked\s*$/i.test(String(coding));
+}
