--- a/packages/gateway/src/relay/run_attempt.ts
+++ b/packages/gateway/src/relay/run_attempt.ts
@@ -32,8 +32,8 @@
 /**
  * Sends one request on a connection and validates the response: it must carry
  * this request's id and be complete, and a successful one must be signed. Only
- * a refusal on a new connection may lack the id. Every
- * outcome except `answered` and `streamed` closes the connection.
+ * a refusal on a new connection may lack the id. Every outcome except
+ * `answered` and `streamed` closes the connection.
  */
 export async function runAttempt(
   connection: HttpConnection,
--- a/packages/gateway/src/relay/run_migration.ts
+++ b/packages/gateway/src/relay/run_migration.ts
@@ -105,8 +105,9 @@
 
   /**
    * Called when the run's stream ended early; `proof` is absent if this
-   * instance ended it. Waits for the source, at most `maxWaitMs`. Returns the resulting state, which holds the runner on
-   * which the run resumes, if there is one.
+   * instance ended it. Waits for the source, at most `maxWaitMs`. Returns the
+   * resulting state, which holds the runner on which the run resumes, if there
+   * is one.
    */
   async resolveAfterBreak(
     proof: StopProof | undefined,
@@ -114,10 +115,10 @@
   ): Promise<MigrationState> {
     const brokeAtMs = monotonicMs();
     this.#streamEnded.abort();
-    // The final copy holds more than the first, so its answer is awaited also
-    // if the run is known to have stopped.
     const leftMs = (timeoutMs: number) =>
       Math.max(0, brokeAtMs + Math.min(timeoutMs, maxWaitMs) - monotonicMs());
+    // The final copy holds more than the first, so its answer is awaited also
+    // if the run is known to have stopped.
     if (this.#task && this.#state.type === "stopping") {
       await settleWithin(this.#task, leftMs(ENDED_CONFIRM_TIMEOUT_MS));
       if (!(proof && this.#hasFailedToStop))
