--- a/packages/gateway/src/model/stop_proof.ts
+++ b/packages/gateway/src/model/stop_proof.ts
@@ -10,5 +10,5 @@
   | "no_such_run"
   /** The source ended or reset the run's stream. */
   | "stream_ended"
-  /** Nothing listens at the source's address: its process has exited. */
+  /** The stream has ended and nothing listens at the source's address. */
   | "connection_refused";
--- a/packages/gateway/src/relay/run_migration.ts
+++ b/packages/gateway/src/relay/run_migration.ts
@@ -12,13 +12,13 @@
 const COPY_TIMEOUT_MS = 4_000;
 /** How long a broken stream waits for confirmation that its run stopped. */
 const STOP_CONFIRM_TIMEOUT_MS = 1_000;
-/** Delay before a copy is retried for a run that has not started yet. */
-const COPY_RETRY_DELAY_MS = 120;
 /**
- * The same for a stream that the source ended, which probably stopped the run:
- * two round trips between regions.
+ * How long a stream that the source ended waits, as the run has probably
+ * stopped: two round trips between regions.
  */
 const ENDED_CONFIRM_TIMEOUT_MS = 120;
+/** Delay before a copy is retried for a run that has not started yet. */
+const COPY_RETRY_DELAY_MS = 120;
 /** Delay before a final copy that failed is ordered again. */
 const STOP_RETRY_DELAY_MS = 100;
 /**
