Count only a closed port as a crash of a runner

Callers of one request could be refused with "it has crashed several runners" although no runner had crashed: after a cut response the crash detector connects to the runner, and took any failure for a crash, also a time-out, a reset or an instance that is itself cut off or out of descriptors. Three such cuts quarantine the request at all instances.

Only ECONNREFUSED, the host's word that no process listens, counts now; anything else is logged as `runner_out_of_reach`. Crashing requests end their runner's process, which closes its port. A machine without power proves nothing about the request.

--- a/packages/gateway/src/relay/crash_detector.ts
+++ b/packages/gateway/src/relay/crash_detector.ts
@@ -1,5 +1,6 @@
 import type { Quarantine } from "@jujubeladder/coordination";
 import type { Logger } from "@jujubeladder/logger";
+import type { Result } from "@jujubeladder/types";
 import { sleep } from "@jujubeladder/utils";
 import type { GatewayRunner } from "../model/gateway_runner.js";
 import { toIncarnationId } from "../model/to_incarnation_id.js";
@@ -9,25 +10,38 @@
 /** Time after which a crashed process has stopped listening. */
 const PROBE_DELAY_MS = 100;
 const PROBE_TIMEOUT_MS = 500;
+/** The host answers that no process listens on the port. */
+const PORT_CLOSED = "ECONNREFUSED";
+
+/** Opens a connection to a runner; see `HttpConnection.open`. */
+type OpenConnection = (
+  endpoint: { readonly host: string; readonly port: number },
+  options: { readonly timeoutMs: number },
+) => Promise<Result<{ readonly close: () => void }, string>>;
 
 /**
  * Distinguishes crashed runners from responses that were merely cut off. Only
- * a runner that no longer accepts connections, and was not leaving, counts as a
- * crash against the request's fingerprint.
+ * a runner that has closed its port, and was not leaving, counts as a crash
+ * against the request's fingerprint: one that is out of reach may still work.
  */
 export class CrashDetector {
   readonly #directory: RunnerDirectory;
   readonly #quarantine: Quarantine;
   readonly #logger: Logger;
+  readonly #open: OpenConnection;
 
   constructor(dependencies: {
     readonly directory: RunnerDirectory;
     readonly quarantine: Quarantine;
     readonly logger: Logger;
+    readonly openConnection?: OpenConnection;
   }) {
     this.#directory = dependencies.directory;
     this.#quarantine = dependencies.quarantine;
     this.#logger = dependencies.logger;
+    this.#open =
+      dependencies.openConnection ??
+      (async (endpoint, options) => HttpConnection.open(endpoint, options));
   }
 
   /** Probes a runner whose response to the request was cut off. */
@@ -38,7 +52,7 @@
 
   async #probe(runner: GatewayRunner, fingerprint: string): Promise<void> {
     await sleep(PROBE_DELAY_MS);
-    const opened = await HttpConnection.open(
+    const opened = await this.#open(
       { host: runner.host, port: runner.port },
       { timeoutMs: PROBE_TIMEOUT_MS },
     );
@@ -46,6 +60,14 @@
       opened.value.close();
       return;
     }
+    if (opened.error !== PORT_CLOSED) {
+      this.#logger.info("runner_out_of_reach", {
+        runner: runner.runnerId,
+        fingerprint,
+        reason: opened.error,
+      });
+      return;
+    }
     const incarnationId = toIncarnationId(runner);
     if (!this.#quarantine.recordLosses(fingerprint, [incarnationId])) return;
     this.#logger.warn("runner_lost", {
