Stop resumable runs whose connection the runner's side ended

Cause: only attempts that this instance gave up were told to stop. That the other side ended the connection was taken for proof that the run had stopped, although a reset on the way or a lost answer ends the connection, not the run.

Now every resumable run whose stream breaks without a proof of its stop is told to stop first.

--- a/packages/gateway/src/relay/request_relay.ts
+++ b/packages/gateway/src/relay/request_relay.ts
@@ -273,10 +273,11 @@
           };
         }
       }
-      const isAbandoned =
+      // A runner may work on after its connection has ended.
+      const mayGoOn =
         outcome.type === "slow" ||
-        (outcome.type === "broken" && !hasRunnerEnded && !progress.continueAt);
-      if (isAbandoned && session) {
+        (outcome.type === "broken" && !progress.continueAt);
+      if (mayGoOn && session) {
         const hasStarted = session.eventCount > eventCount;
         progress.abandonedRun = { source: runner, hasStarted };
       }
