Exchange digests and views in UDP datagrams

Cause: each exchange and each poll of the store's reader is a unary call over HTTP/2, with headers, linked abort signals, compression and timers on both sides, mostly to say that nothing has changed. Above 16 instances the sessions are opened anew too, since a neighbour is called less often than its session stays open.

Change, in the gateway: digests travel in datagrams on the number of the peer port; an exchange that gets no answer within 0.4 s, or does not fit into 1,400 bytes, is made as a call. Instances that follow a store reader ask for its view (versions and ages) every 0.35 s, both watches with one query, and are told of changes at once; a watch is called only after a change, or without an answer. Ages count from before the query was sent, as for calls. The daemon of the product's own interface keeps to calls.

--- a/packages/coordination/src/membership.ts
+++ b/packages/coordination/src/membership.ts
@@ -11,6 +11,7 @@
   sleep,
   type ClockReading,
 } from "@jujubeladder/utils";
+import type { DigestExchange } from "./digest_exchange.js";
 import type { GossipPace } from "./gossip_pace.js";
 import type { GossipState } from "./gossip_state.js";
 import type { PeerDirectory } from "./peer_directory.js";
@@ -34,6 +35,7 @@
   readonly #listInstances: () => readonly Instance[];
   readonly #logger: Logger;
   readonly #pace: () => GossipPace;
+  readonly #datagrams: DigestExchange | undefined;
   readonly #peers = new Map<string, PeerState>();
   readonly #fetching = new Set<string>();
   #isLeaving = false;
@@ -46,6 +48,8 @@
       readonly logger: Logger;
       /** Called before each interval, since it depends on the fleet's size. */
       readonly pace?: () => GossipPace;
+      /** Tried before a call is made. */
+      readonly datagrams?: DigestExchange;
     },
   ) {
     this.#state = state;
@@ -53,6 +57,7 @@
     this.#listInstances = options.listInstances;
     this.#logger = options.logger;
     this.#pace = options.pace ?? (() => DEFAULT_PACE);
+    this.#datagrams = options.datagrams;
   }
 
   get isLeaving(): boolean {
@@ -112,6 +117,25 @@
   }
 
   async #exchange(instanceId: string): Promise<void> {
+    if (!(await this.#exchangeDatagrams(instanceId))) {
+      await this.#call(instanceId);
+    }
+  }
+
+  async #exchangeDatagrams(instanceId: string): Promise<boolean> {
+    if (!this.#datagrams) return false;
+    const peer = this.#listPeers().find((p) => p.instanceId === instanceId);
+    if (!peer) return false;
+    const sentAt = readClocks();
+    const digest = await this.#datagrams.exchangeDigests(
+      { host: peer.host, port: peer.peerPort },
+      this.#createDigest(),
+    );
+    if (digest) await this.#merge(digest, sentAt);
+    return digest !== undefined;
+  }
+
+  async #call(instanceId: string): Promise<void> {
     const client = this.#directory.find(instanceId);
     if (!client) return;
     const sentAt = readClocks();
--- a/packages/coordination/src/mod.ts
+++ b/packages/coordination/src/mod.ts
@@ -12,6 +12,8 @@
 export { OrderReconciler } from "./order_reconciler.js";
 export { OrderSchedule } from "./order_schedule.js";
 export { OwnerLedger } from "./owner_ledger.js";
+export type { DatagramEndpoint } from "./datagram_endpoint.js";
+export { PeerDatagrams } from "./peer_datagrams.js";
 export { PeerDirectory } from "./peer_directory.js";
 export type { PeerState } from "./peer_state.js";
 export type { SubmissionRun } from "./submission_run.js";
--- a/packages/gateway/src/mesh/create_membership.ts
+++ b/packages/gateway/src/mesh/create_membership.ts
@@ -3,6 +3,7 @@
   Membership,
   Successions,
   type GossipPace,
+  type PeerDatagrams,
   type PeerDirectory,
   type Quarantine,
 } from "@jujubeladder/coordination";
@@ -37,6 +38,7 @@
   readonly directory: RunnerDirectory;
   readonly roster: PeerRoster;
   readonly peers: PeerDirectory;
+  readonly peerDatagrams: PeerDatagrams;
   readonly loadTracker: LoadTracker;
   readonly quarantine: Quarantine;
   readonly logger: Logger;
@@ -67,6 +69,7 @@
     },
     {
       directory: dependencies.peers,
+      datagrams: dependencies.peerDatagrams,
       listInstances: () => roster.listInstances(),
       logger,
       pace: () =>
--- a/packages/gateway/src/mesh/peer_store_reader.ts
+++ b/packages/gateway/src/mesh/peer_store_reader.ts
@@ -1,5 +1,5 @@
 import type { Client } from "@connectrpc/connect";
-import type { PeerService } from "@jujubeladder/protocol";
+import type { PeerService, ViewState } from "@jujubeladder/protocol";
 import type { Result } from "@jujubeladder/types";
 import { describeError } from "@jujubeladder/utils";
 import type { RunnerListUpdate } from "../model/runner_list_update.js";
@@ -15,10 +15,17 @@
 export class PeerStoreReader implements StoreReader {
   readonly instanceId: string;
   readonly #client: Client<typeof PeerService>;
+  readonly #pollView: () => Promise<ViewState | undefined>;
 
-  constructor(instanceId: string, client: Client<typeof PeerService>) {
+  /** `pollView` is the cheaper way to learn that nothing has changed. */
+  constructor(
+    instanceId: string,
+    client: Client<typeof PeerService>,
+    pollView: () => Promise<ViewState | undefined>,
+  ) {
     this.instanceId = instanceId;
     this.#client = client;
+    this.#pollView = pollView;
   }
 
   async watchConfig(options: {
@@ -28,6 +35,17 @@
     Result<{ readonly version: number; readonly ageMs: number }, string>
   > {
     const { version, waitMs } = options;
+    const view = await this.#pollView();
+    // A peer that is behind may catch up during the call.
+    if (view && Number(view.configVersion) >= version) {
+      const { configAgeMs: ageMs } = view;
+      if (ageMs === undefined || ageMs > MAX_VIEW_AGE_MS)
+        return staleView(ageMs);
+      return {
+        ok: true,
+        value: { version: Number(view.configVersion), ageMs },
+      };
+    }
     try {
       const response = await this.#client.watchConfig(
         { version: BigInt(version), waitMs },
@@ -46,10 +64,22 @@
     readonly asOf: number;
     readonly waitMs: number;
   }): Promise<Result<RunnerListUpdate, string>> {
-    const { waitMs } = options;
+    const { asOf, waitMs } = options;
+    const view = asOf > 0 ? await this.#pollView() : undefined;
+    const isUnchanged =
+      view &&
+      Number(view.runnersAsOf) >= asOf &&
+      Number(view.runnersChangedAsOf) <= asOf;
+    if (isUnchanged) {
+      const { runnersAgeMs: ageMs } = view;
+      if (ageMs === undefined || ageMs > MAX_VIEW_AGE_MS)
+        return staleView(ageMs);
+      const known = { asOf: Number(view.runnersAsOf), ageMs };
+      return { ok: true, value: { ...known, type: "changes", changes: [] } };
+    }
     try {
       const response = await this.#client.watchRunners(
-        { asOf: BigInt(options.asOf), waitMs },
+        { asOf: BigInt(asOf), waitMs },
         { timeoutMs: waitMs + RESPONSE_MARGIN_MS },
       );
       const { ageMs } = response;
--- a/packages/gateway/src/mesh/peer_store_reader_provider.ts
+++ b/packages/gateway/src/mesh/peer_store_reader_provider.ts
@@ -1,23 +1,30 @@
-import type { PeerDirectory } from "@jujubeladder/coordination";
+import type {
+  DatagramEndpoint,
+  PeerDirectory,
+} from "@jujubeladder/coordination";
 import type { Logger } from "@jujubeladder/logger";
 import type { StoreReaderSelector } from "../decisions/store_reader_selector.js";
 import type { StoreReader } from "../model/store_reader.js";
 import { PeerStoreReader } from "./peer_store_reader.js";
+import type { ViewPoller } from "./view_poller.js";
 
 /** Selects the peer that reads the store for this instance; logs changes. */
 export class PeerStoreReaderProvider {
   readonly #selector: StoreReaderSelector;
   readonly #peers: PeerDirectory;
+  readonly #poller: ViewPoller;
   readonly #logger: Logger;
   #lastInstanceId: string | undefined;
 
   constructor(dependencies: {
     readonly selector: StoreReaderSelector;
     readonly peers: PeerDirectory;
+    readonly poller: ViewPoller;
     readonly logger: Logger;
   }) {
     this.#selector = dependencies.selector;
     this.#peers = dependencies.peers;
+    this.#poller = dependencies.poller;
     this.#logger = dependencies.logger;
   }
 
@@ -30,7 +37,10 @@
     }
     if (instanceId === undefined) return undefined;
     const client = this.#peers.find(instanceId);
-    return client && new PeerStoreReader(instanceId, client);
+    if (!client) return undefined;
+    return new PeerStoreReader(instanceId, client, async () =>
+      this.#poller.poll(parseAddress(instanceId)),
+    );
   }
 
   recordOwnFailure(): void {
@@ -45,3 +55,12 @@
     });
   }
 }
+
+// An instance's id is the address of its peer port.
+function parseAddress(instanceId: string): DatagramEndpoint {
+  const separator = instanceId.lastIndexOf(":");
+  return {
+    host: instanceId.slice(0, separator),
+    port: Number(instanceId.slice(separator + 1)),
+  };
+}
--- /dev/null
+++ b/packages/gateway/src/mesh/read_view_state.ts
@@ -0,0 +1,32 @@
+import { create } from "@bufbuild/protobuf";
+import { ViewStateSchema, type ViewState } from "@jujubeladder/protocol";
+import type { ActiveConfig } from "../views/active_config.js";
+import type { RunnerWatchCache } from "../views/runner_watch_cache.js";
+import type { StoreReadHealth } from "../views/store_read_health.js";
+
+/** Returns what this instance has read of the store. */
+export function readViewState(dependencies: {
+  readonly activeConfig: ActiveConfig;
+  readonly configHealth: StoreReadHealth;
+  readonly watchCache: RunnerWatchCache;
+  readonly runnersHealth: StoreReadHealth;
+}): ViewState {
+  const { activeConfig, configHealth, watchCache, runnersHealth } =
+    dependencies;
+  const configAgeMs = toAge(configHealth, activeConfig.confirmedAgeMs);
+  const runnersAgeMs = toAge(runnersHealth, watchCache.ageMs);
+  return create(ViewStateSchema, {
+    configVersion: BigInt(activeConfig.version),
+    ...(configAgeMs === undefined ? {} : { configAgeMs }),
+    runnersAsOf: BigInt(watchCache.asOf),
+    runnersChangedAsOf: BigInt(watchCache.changedAsOf),
+    ...(runnersAgeMs === undefined ? {} : { runnersAgeMs }),
+  });
+}
+
+// No age tells peers to choose another reader.
+function toAge(health: StoreReadHealth, ageMs: number): number | undefined {
+  return health.isHealthy && Number.isFinite(ageMs)
+    ? Math.ceil(Math.max(0, ageMs))
+    : undefined;
+}
--- a/packages/gateway/src/server/gateway_instance.ts
+++ b/packages/gateway/src/server/gateway_instance.ts
@@ -1,6 +1,7 @@
 import type { Server } from "node:http";
 import type { Http2Server } from "node:http2";
 import {
+  PeerDatagrams,
   PeerDirectory,
   Quarantine,
   servePeers,
@@ -8,6 +9,7 @@
 } from "@jujubeladder/coordination";
 import type { Logger } from "@jujubeladder/logger";
 import { Metrics } from "@jujubeladder/metrics";
+import type { ViewState } from "@jujubeladder/protocol";
 import { monotonicMs, sleep } from "@jujubeladder/utils";
 import { LoadTracker } from "../decisions/load_tracker.js";
 import { OutlierScores } from "../decisions/outlier_scores.js";
@@ -17,6 +19,9 @@
 import { PeerRoster } from "../mesh/peer_roster.js";
 import { PeerStoreReaderProvider } from "../mesh/peer_store_reader_provider.js";
 import { createViewHandlers } from "../mesh/create_view_handlers.js";
+import { readViewState } from "../mesh/read_view_state.js";
+import { ViewFollowers } from "../mesh/view_followers.js";
+import { ViewPoller } from "../mesh/view_poller.js";
 import type { EngineControl } from "../model/engine_control.js";
 import type { GatewayCodec } from "../model/gateway_codec.js";
 import type { MetadataStore } from "../model/metadata_store.js";
@@ -63,10 +68,17 @@
   readonly #roster: PeerRoster;
   readonly #membership: Membership;
   readonly #peers: PeerDirectory;
+  readonly #peerDatagrams: PeerDatagrams;
   readonly #callerServer: CallerServer;
   readonly #leavePoller: LeavePoller;
   readonly #readerProvider: PeerStoreReaderProvider;
-  readonly #watchCache = new RunnerWatchCache();
+  readonly #watchCache = new RunnerWatchCache({
+    onChanged: () => {
+      this.#announceView();
+    },
+  });
+  readonly #viewFollowers = new ViewFollowers();
+  readonly #viewPoller: ViewPoller;
   readonly #configHealth: StoreReadHealth;
   readonly #runnersHealth: StoreReadHealth;
   readonly #store: MetadataStore;
@@ -98,12 +110,20 @@
     this.#roster = new PeerRoster(ownAddress, settings.seeds);
     const loadTracker = new LoadTracker(() => this.#roster.countByRegion());
     this.#peers = new PeerDirectory((id) => this.#roster.find(id));
+    this.#peerDatagrams = new PeerDatagrams(logger);
+    this.#viewPoller = new ViewPoller(async (peer) =>
+      this.#peerDatagrams.queryView(peer),
+    );
+    this.#activeConfig.events.on("changed", () => {
+      this.#announceView();
+    });
     this.#readerProvider = new PeerStoreReaderProvider({
       selector: new StoreReaderSelector(
         { instanceId: ownAddress, region: settings.region },
         () => this.#roster.listInstances(),
       ),
       peers: this.#peers,
+      poller: this.#viewPoller,
       logger,
     });
     this.#membership = createMembership({
@@ -113,6 +133,7 @@
       directory: this.#directory,
       roster: this.#roster,
       peers: this.#peers,
+      peerDatagrams: this.#peerDatagrams,
       loadTracker,
       quarantine,
       logger,
@@ -254,6 +275,16 @@
         settings.peers,
       ),
     );
+    await this.#peerDatagrams.listen(settings.peers, {
+      digest: (digest) => this.#membership.handleDigest(digest),
+      viewQuery: (from) => {
+        this.#viewFollowers.record(from);
+        return this.#readView();
+      },
+      viewAnnouncement: (from) => {
+        this.#viewPoller.handleAnnouncement(from);
+      },
+    });
     void this.#membership.run(signal);
     await this.#callerServer.listen(settings.callers);
     void this.#runHousekeeping(signal);
@@ -294,9 +325,26 @@
     this.#callerServer.close();
     this.#pool.closeAll();
     this.#peers.close();
+    this.#peerDatagrams.close();
     for (const server of this.#servers) server.close();
   }
 
+  #readView(): ViewState {
+    return readViewState({
+      activeConfig: this.#activeConfig,
+      configHealth: this.#configHealth,
+      watchCache: this.#watchCache,
+      runnersHealth: this.#runnersHealth,
+    });
+  }
+
+  #announceView(): void {
+    const followers = this.#viewFollowers.list();
+    if (followers.length === 0) return;
+    const view = this.#readView();
+    for (const peer of followers) this.#peerDatagrams.announceView(peer, view);
+  }
+
   #timeToExitMs(): number | undefined {
     return this.#stopAtMs === undefined
       ? undefined
--- a/packages/gateway/src/views/runner_watch_cache.ts
+++ b/packages/gateway/src/views/runner_watch_cache.ts
@@ -20,10 +20,31 @@
   readonly #runners = new Map<string, GatewayRunner>();
   readonly #log: LogEntry[] = [];
   readonly #changed = new ChangeSignal();
+  readonly #onChanged: () => void;
   #logStart = 0;
   #asOf = 0;
+  #changedAsOf = 0;
   #readAt: ClockReading | undefined;
 
+  constructor(options: { readonly onChanged?: () => void } = {}) {
+    this.#onChanged = options.onChanged ?? (() => undefined);
+  }
+
+  /** The store's revision of the list; 0 before the first read. */
+  get asOf(): number {
+    return this.#asOf;
+  }
+
+  /** The revision up to which the list has changed. */
+  get changedAsOf(): number {
+    return this.#changedAsOf;
+  }
+
+  /** Time since the newest read was sent. */
+  get ageMs(): number {
+    return this.#readAt ? maxElapsedMs(this.#readAt) : Number.POSITIVE_INFINITY;
+  }
+
   /** Replaces the list; `readAt` must be no later than the read's sending. */
   replaceList(
     runners: readonly GatewayRunner[],
@@ -34,7 +55,7 @@
     this.#log.length = 0;
     this.#logStart = read.asOf;
     this.#recordRead(read);
-    this.#changed.notify();
+    this.#recordChange();
   }
 
   /** Applies the changes since the last read, of which there may be none. */
@@ -53,7 +74,7 @@
     while (this.#log.length > MAX_LOG_ENTRIES) {
       this.#logStart = this.#log.shift()?.asOf ?? this.#logStart;
     }
-    this.#changed.notify();
+    this.#recordChange();
   }
 
   /**
@@ -78,6 +99,12 @@
     return { ...known, type: "changes", changes };
   }
 
+  #recordChange(): void {
+    this.#changedAsOf = this.#asOf;
+    this.#changed.notify();
+    this.#onChanged();
+  }
+
   #recordRead(read: {
     readonly asOf: number;
     readonly readAt: ClockReading;
