Load only the client of undici for connections

Seen: an eighth of the processor time of an instance's start and 6 MB of an idle instance belong to undici's main module, of which the gateway uses the class Client alone.

Cause: the main module loads fetch, WebSocket, caches, mocks and interceptors. Its cookies touch the global Headers, so that Node loads its own, second copy of undici as well.

Ruled out: sideEffects fields; undici is CommonJS, of which the bundler drops nothing.

Change: connections import undici's client module, which has the types of the class that the main module exports. Node's own fetch is no longer loaded either.

The new test of what is loaded fails with the import of the main module.

--- /dev/null
+++ b/packages/gateway/src/__tests__/http_connection.test.ts
@@ -0,0 +1,26 @@
+import { execFileSync } from "node:child_process";
+import process from "node:process";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+
+const TIMEOUT_MS = 20_000;
+
+/** Prints the CommonJS modules that a module has loaded. */
+const LIST_MODULES = `
+  await import(process.argv[1]);
+  const { createRequire } = await import("node:module");
+  console.log(Object.keys(createRequire(process.cwd() + "/").cache).join("\\n"));
+`;
+
+test("nothing but undici's client is loaded for connections", () => {
+  const url = new URL("../transport/http_connection.js", import.meta.url).href;
+  const modules = execFileSync(
+    process.execPath,
+    ["--input-type=module", "--eval", LIST_MODULES, url],
+    { encoding: "utf8", timeout: TIMEOUT_MS },
+  );
+  assert.match(modules, /undici\/lib\/dispatcher\/client\.js$/m);
+  assert.not.match(modules, /undici\/(?:index|lib\/(?:api|mock|web))/);
+});
+
+test.run();
--- a/packages/gateway/src/transport/http_connection.ts
+++ b/packages/gateway/src/transport/http_connection.ts
@@ -1,6 +1,7 @@
 import { connect as connectSocket, type Socket } from "node:net";
 import process from "node:process";
-import { Client, type Dispatcher } from "undici";
+import type { Dispatcher } from "undici";
+import Client from "undici/lib/dispatcher/client.js";
 import type { Result } from "@jujubeladder/types";
 import { describeError, monotonicMs } from "@jujubeladder/utils";
 import { hasPeerReset } from "./has_peer_reset.js";
