--- a/packages/logger/src/format_log_line.ts
+++ b/packages/logger/src/format_log_line.ts
@@ -4,15 +4,20 @@
 
 /** Formats an event as one line of key=value pairs. */
 export function formatLogLine(fields: LogFields): string {
-  return Object.entries(fields)
-    .filter(([, value]) => value !== undefined)
-    .map(([key, value]) => `${key}=${formatValue(value)}`)
-    .join(" ");
+  let line = "";
+  for (const key in fields) {
+    const value = fields[key];
+    if (value === undefined) continue;
+    line += `${line === "" ? "" : " "}${key}=${formatValue(value)}`;
+  }
+  return line;
 }
 
-function formatValue(value: LogFields[string]): string {
-  if (typeof value === "number" && !Number.isInteger(value)) {
-    return value.toFixed(3);
+function formatValue(value: string | number | boolean): string {
+  if (typeof value === "number") {
+    // Numbers that JSON can't represent are printed as it would print them.
+    if (!Number.isFinite(value)) return "null";
+    return Number.isInteger(value) ? String(value) : value.toFixed(3);
   }
   const text = String(value);
   return text === "" || NEEDS_QUOTES.test(text) ? JSON.stringify(text) : text;
