Send a response's head with its first bytes

Seen: every response costs two writes to the caller's socket, one for the head alone and one for the body or the first event; writing the head took 4 % of an instance's processor time under a load of requests.

The cause is `flushHeaders`, which writes at once. It is not needed: in each place that sends a head, a body, an event or the end follows in the same turn, and Node.js writes both together.

Existing tests of heads, streams and cut responses cover the order; the bytes on the wire are the same.

--- a/packages/gateway/src/server/http_caller_response.ts
+++ b/packages/gateway/src/server/http_caller_response.ts
@@ -39,7 +39,6 @@
     const isLast = endsWithConnection || this.#isClosing();
     const close = isLast ? ["connection", "close"] : [];
     this.#response.writeHead(statusCode, [...headers, ...close]);
-    this.#response.flushHeaders();
   }
 
   write(chunk: Uint8Array): boolean {
