Compute fingerprints only if a crash is known

Seen: 3 % of an instance's processor time under a load of requests went into admitting them, most of it into the HMAC over the body, which is compared with the requests that have crashed runners and is cleared from them on success. Almost always there are none.

The fingerprint is now computed when it is needed: if the quarantine holds any suspicion, and when a run breaks off. It is the same value as before, so instances of both versions agree on it.

Ruled out: a cheaper hash, which would not match that of peers during a rolling update.

--- a/packages/coordination/src/quarantine.ts
+++ b/packages/coordination/src/quarantine.ts
@@ -25,6 +25,11 @@
     this.#quarantineThreshold = quarantineThreshold;
   }
 
+  /** True if no fingerprint has been recorded, so that all are clear. */
+  get isEmpty(): boolean {
+    return this.#suspicions.size === 0;
+  }
+
   /** Records lost runners; returns true if any was not known before. */
   recordLosses(
     fingerprint: string,
--- a/packages/gateway/src/relay/request_context.ts
+++ b/packages/gateway/src/relay/request_context.ts
@@ -14,8 +14,11 @@
   /** Scheduling priority; 0 is urgent. */
   readonly priority: number;
   readonly response: CallerResponse;
-  /** Content fingerprint, comparable between instances; see `Quarantine`. */
-  readonly fingerprint: string;
+  /**
+   * Computes the content fingerprint, which is comparable between instances;
+   * see `Quarantine`.
+   */
+  readonly computeFingerprint: () => string;
   readonly configVersion: number;
   /** Arrival time on the monotonic clock. */
   readonly receivedAtMs: number;
--- a/packages/gateway/src/relay/request_relay.ts
+++ b/packages/gateway/src/relay/request_relay.ts
@@ -338,7 +338,7 @@
         progress.lastReason = outcome.reason;
         progress.mayHaveExecuted = true;
         if (progress.continueAt) return undefined;
-        this.#dependencies.checkForCrash(runner, context.fingerprint);
+        this.#dependencies.checkForCrash(runner, context.computeFingerprint());
         progress.executionCount += 1;
         return canRetry ? undefined : this.#giveUp(context, progress);
       case "slow":
@@ -403,9 +403,11 @@
       : refuse({ type: "may_have_run", reason });
   }
 
-  #recordSuccess({ fingerprint }: RequestContext, runner: GatewayRunner): void {
-    this.#dependencies.outliers.record(runner.runnerId, false);
-    this.#dependencies.quarantine.recordSuccess(fingerprint);
+  #recordSuccess(context: RequestContext, runner: GatewayRunner): void {
+    const { outliers, quarantine } = this.#dependencies;
+    outliers.record(runner.runnerId, false);
+    if (!quarantine.isEmpty)
+      quarantine.recordSuccess(context.computeFingerprint());
   }
 
   #firstByteTimeoutMs(
--- a/packages/gateway/src/server/admit_request.ts
+++ b/packages/gateway/src/server/admit_request.ts
@@ -72,11 +72,15 @@
   ) {
     return notRun("this instance stops", OTHER_INSTANCE_RETRY_MS);
   }
-  const fingerprint = computeFingerprint(
-    team?.teamId ?? "",
-    `${request.method} ${request.target}\n${received.body.toString("latin1")}`,
-  );
-  if (quarantine.status(fingerprint).type === "quarantined") {
+  const fingerprintRequest = () =>
+    computeFingerprint(
+      team?.teamId ?? "",
+      `${request.method} ${request.target}\n${received.body.toString("latin1")}`,
+    );
+  if (
+    !quarantine.isEmpty &&
+    quarantine.status(fingerprintRequest()).type === "quarantined"
+  ) {
     return notRun("it has crashed several runners", QUARANTINED_RETRY_MS);
   }
   const callerTimeoutMs = request.maxWaitMs ?? Number.POSITIVE_INFINITY;
@@ -88,7 +92,7 @@
       route,
       service,
       team,
-      fingerprint,
+      computeFingerprint: fingerprintRequest,
       priority: team?.priority ?? route.priority,
       configVersion: activeConfig.version,
       deadlineAtMs:
