Keep the instances that a roster lists, and their ranks

Cause: each of these built an object for every known peer, and both orders of instances were hashed and sorted anew though the membership had not changed.

Change: the roster keeps one Instance per peer and looks it up by its address; a sample builds objects only for the peers in it; RendezvousOrder ranks again only if the ids have changed.

--- a/packages/coordination/src/membership.ts
+++ b/packages/coordination/src/membership.ts
@@ -6,7 +6,7 @@
 import {
   describeError,
   monotonicMs,
-  rankByRendezvous,
+  RendezvousOrder,
   readClocks,
   sleep,
   type ClockReading,
@@ -37,6 +37,8 @@
   readonly #pace: () => GossipPace;
   readonly #datagrams: DigestExchange | undefined;
   readonly #peers = new Map<string, PeerState>();
+  readonly #nearOrder: RendezvousOrder;
+  readonly #farOrder: RendezvousOrder;
   readonly #fetching = new Set<string>();
   #isLeaving = false;
 
@@ -53,6 +55,8 @@
     },
   ) {
     this.#state = state;
+    this.#nearOrder = new RendezvousOrder(state.identity.instanceId);
+    this.#farOrder = new RendezvousOrder(state.identity.instanceId);
     this.#directory = options.directory;
     this.#listInstances = options.listInstances;
     this.#logger = options.logger;
@@ -256,15 +260,14 @@
   // id: each instance has its own order, so that witnesses are chosen evenly.
   #rankNeighbours(): readonly string[] {
     const peers = this.#listPeers();
-    const { region, identity } = this.#state;
+    const { region } = this.#state;
     const ids = (isSameRegion: boolean) =>
       peers
         .filter((peer) => (peer.region === region) === isSameRegion)
         .map((peer) => peer.instanceId);
-    const key = identity.instanceId;
     return [
-      ...rankByRendezvous(key, ids(true)),
-      ...rankByRendezvous(key, ids(false)),
+      ...this.#nearOrder.rank(ids(true)),
+      ...this.#farOrder.rank(ids(false)),
     ];
   }
 
--- a/packages/gateway/src/decisions/store_reader_selector.ts
+++ b/packages/gateway/src/decisions/store_reader_selector.ts
@@ -1,4 +1,4 @@
-import { monotonicMs, rankByRendezvous } from "@jujubeladder/utils";
+import { monotonicMs, RendezvousOrder } from "@jujubeladder/utils";
 
 /** Each region has one store reader per this many instances. */
 const INSTANCES_PER_READER = 16;
@@ -19,6 +19,8 @@
     readonly instanceId: string;
     readonly region: string;
   }[];
+  readonly #regionOrder: RendezvousOrder;
+  readonly #ownOrder: RendezvousOrder;
   readonly #failedAtMs = new Map<string, number>();
 
   constructor(
@@ -31,6 +33,8 @@
     this.#own = own.instanceId;
     this.#region = own.region;
     this.#listPeers = listPeers;
+    this.#regionOrder = new RendezvousOrder(own.region);
+    this.#ownOrder = new RendezvousOrder(own.instanceId);
   }
 
   /** The peer to ask; undefined if this instance reads the store itself. */
@@ -41,12 +45,9 @@
     const all = [this.#own, ...peers];
     const usable = all.filter((id) => !this.#hasFailed(id));
     const readerCount = Math.ceil(all.length / INSTANCES_PER_READER);
-    const readers = rankByRendezvous(this.#region, usable).slice(
-      0,
-      readerCount,
-    );
+    const readers = this.#regionOrder.rank(usable).slice(0, readerCount);
     if (readers.includes(this.#own)) return undefined;
-    return rankByRendezvous(this.#own, readers)[0];
+    return this.#ownOrder.rank(readers)[0];
   }
 
   /** The peer did not respond, or its own view is too old. */
--- a/packages/gateway/src/mesh/peer_roster.ts
+++ b/packages/gateway/src/mesh/peer_roster.ts
@@ -13,10 +13,16 @@
 const PEERS_PER_DIGEST = 16;
 
 interface Peer {
+  readonly instance: Instance;
+  readonly heardAtMs: number;
+}
+
+/** A peer in a digest. */
+interface SharedPeer {
   readonly address: string;
   readonly region: string;
   readonly availabilityZone: string;
-  readonly heardAtMs: number;
+  readonly ageMs: number;
 }
 
 /**
@@ -25,14 +31,18 @@
  */
 export class PeerRoster {
   readonly #ownAddress: string;
-  readonly #seeds: readonly string[];
+  readonly #seeds: ReadonlyMap<string, Instance>;
   readonly #peers = new Map<string, Peer>();
   #peakPeerCount = 0;
   #peakReportedCount = 0;
 
   constructor(ownAddress: string, seeds: readonly string[]) {
     this.#ownAddress = ownAddress;
-    this.#seeds = seeds.filter((seed) => seed !== ownAddress);
+    this.#seeds = new Map(
+      seeds
+        .filter((seed) => seed !== ownAddress)
+        .map((seed) => [seed, toInstance(seed)]),
+    );
   }
 
   /**
@@ -49,23 +59,19 @@
   }
 
   /** Records that a peer was heard of `ageMs` ago. */
-  record(peer: {
-    readonly address: string;
-    readonly region: string;
-    readonly availabilityZone: string;
-    readonly ageMs: number;
-  }): void {
-    if (peer.address === this.#ownAddress) return;
-    const heardAtMs = monotonicMs() - peer.ageMs;
-    const known = this.#peers.get(peer.address);
+  record(peer: SharedPeer): void {
+    const { address, region, availabilityZone, ageMs } = peer;
+    if (address === this.#ownAddress) return;
+    const heardAtMs = monotonicMs() - ageMs;
+    const known = this.#peers.get(address);
     if (known && known.heardAtMs >= heardAtMs) return;
-    const { address, region, availabilityZone } = peer;
-    this.#peers.set(address, {
-      address,
-      region,
-      availabilityZone,
-      heardAtMs,
-    });
+    const isSame =
+      known?.instance.region === region &&
+      known.instance.availabilityZone === availabilityZone;
+    const instance = isSame
+      ? known.instance
+      : toInstance(address, { region, availabilityZone });
+    this.#peers.set(address, { instance, heardAtMs });
     this.#peakPeerCount = Math.max(this.#peakPeerCount, this.#peers.size);
   }
 
@@ -73,8 +79,9 @@
   countByRegion(): ReadonlyMap<string, number> {
     const counts = new Map<string, number>();
     const sinceMs = monotonicMs() - MAX_SHARED_AGE_MS;
-    for (const { region, heardAtMs } of this.#peers.values()) {
+    for (const { instance, heardAtMs } of this.#peers.values()) {
       if (heardAtMs <= sinceMs) continue;
+      const { region } = instance;
       counts.set(region, (counts.get(region) ?? 0) + 1);
     }
     return counts;
@@ -84,61 +91,68 @@
    * Samples the recently heard peers for a digest. A sample keeps digests
    * small; as each is drawn anew, all peers still learn of each other.
    */
-  sampleRecent(): readonly (Omit<Peer, "heardAtMs"> & {
-    readonly ageMs: number;
-  })[] {
+  sampleRecent(): readonly SharedPeer[] {
     const recent = this.#listRecent();
-    if (recent.length <= PEERS_PER_DIGEST) return recent;
-    const first = Math.floor(Math.random() * recent.length);
-    return [...recent.slice(first), ...recent.slice(0, first)].slice(
-      0,
-      PEERS_PER_DIGEST,
-    );
-  }
-
-  #listRecent(): readonly (Omit<Peer, "heardAtMs"> & {
-    readonly ageMs: number;
-  })[] {
+    const first =
+      recent.length > PEERS_PER_DIGEST
+        ? Math.floor(Math.random() * recent.length)
+        : 0;
     const nowMs = monotonicMs();
-    return [...this.#peers.values()]
-      .map(({ heardAtMs, ...peer }) => ({
-        ...peer,
+    return [...recent.slice(first), ...recent.slice(0, first)]
+      .slice(0, PEERS_PER_DIGEST)
+      .map(({ instance, heardAtMs }) => ({
+        address: instance.instanceId,
+        region: instance.region,
+        availabilityZone: instance.availabilityZone,
         ageMs: nowMs - heardAtMs,
-      }))
-      .filter(({ ageMs }) => ageMs < MAX_SHARED_AGE_MS);
+      }));
+  }
+
+  #listRecent(): readonly Peer[] {
+    const sinceMs = monotonicMs() - MAX_SHARED_AGE_MS;
+    return [...this.#peers.values()].filter(
+      ({ heardAtMs }) => heardAtMs > sinceMs,
+    );
   }
 
   find(address: string): Instance | undefined {
-    return this.listInstances().find((peer) => peer.instanceId === address);
+    this.#evictOld();
+    return this.#peers.get(address)?.instance ?? this.#seeds.get(address);
   }
 
   /** Lists the instances to gossip with; an address serves as id. */
   listInstances(): readonly Instance[] {
+    this.#evictOld();
+    const unheard = [...this.#seeds.values()].filter(
+      ({ instanceId }) => !this.#peers.has(instanceId),
+    );
+    return [
+      ...[...this.#peers.values()].map(({ instance }) => instance),
+      ...unheard,
+    ];
+  }
+
+  #evictOld(): void {
     const sinceMs = monotonicMs() - PEER_TTL_MS;
     for (const [address, { heardAtMs }] of this.#peers) {
       if (heardAtMs < sinceMs) this.#peers.delete(address);
     }
-    const seeds = this.#seeds.filter((seed) => !this.#peers.has(seed));
-    return [
-      ...[...this.#peers.values()].map((peer) =>
-        toInstance(peer.address, peer),
-      ),
-      ...seeds.map((seed) => toInstance(seed)),
-    ];
   }
 }
 
 function toInstance(
   address: string,
-  peer?: Pick<Peer, "region" | "availabilityZone">,
+  location: Pick<Instance, "region" | "availabilityZone"> = {
+    region: "",
+    availabilityZone: "",
+  },
 ): Instance {
   const colon = address.lastIndexOf(":");
   return {
     instanceId: address,
     host: address.slice(0, colon),
     peerPort: Number(address.slice(colon + 1)),
-    region: peer?.region ?? "",
-    availabilityZone: peer?.availabilityZone ?? "",
+    ...location,
     state: "live",
   };
 }
--- a/packages/utils/src/mod.ts
+++ b/packages/utils/src/mod.ts
@@ -12,6 +12,7 @@
 export { monotonicMs } from "./monotonic_ms.js";
 export { parseJson } from "./parse_json.js";
 export { rankByRendezvous } from "./rank_by_rendezvous.js";
+export { RendezvousOrder } from "./rendezvous_order.js";
 export { readClocks } from "./read_clocks.js";
 export { SealBox } from "./seal_box.js";
 export { settleWithin } from "./settle_within.js";
