Tell a stall of this process from a reader's silence

Seen: unit/store_reader, "3 or 4 instances read the store, 1 expected", beside other work. Reproduced without load: one busy wait of 0.3 to 0.5 s a second in the test's process fails 4 of 5 cases, on 5 of 5, so it is no regression.

Cause: after a stall the event loop runs timers before it reads sockets. A follower's time limit (0.3 s past the wait) then ends a call whose response has arrived, and the reader is not asked for 3 s; the reader's own deadline for the same call does so as well, and its store read counts as overdue. The log of such a run has "deadline_exceeded" 29 times in five cases, "no current view" 9 times.

Change: the last 100 ms of both limits start once the rest has passed and the sockets have been read; without a stall they last as long as before. The peer gets no deadline of its own; its wait is bounded by the caller's and by 5 s. The age limit of views, 1.8 s, still rejects what a stall made too old.

Ruled out: the roster and PeerSession (no peer was dropped or found dead but at the end of a case).

--- a/packages/gateway/src/mesh/peer_store_reader.ts
+++ b/packages/gateway/src/mesh/peer_store_reader.ts
@@ -1,7 +1,7 @@
-import type { Client } from "@connectrpc/connect";
+import { Code, ConnectError, type Client } from "@connectrpc/connect";
 import type { PeerService, ViewState } from "@jujubeladder/protocol";
 import type { Result } from "@jujubeladder/types";
-import { describeError } from "@jujubeladder/utils";
+import { describeError, setPatientTimeout } from "@jujubeladder/utils";
 import type { RunnerListUpdate } from "../model/runner_list_update.js";
 import type { StoreReader } from "../model/store_reader.js";
 import { decodeRunnerEntry } from "./decode_runner_entry.js";
@@ -47,9 +47,11 @@
       };
     }
     try {
-      const response = await this.#client.watchConfig(
-        { version: BigInt(version), waitMs },
-        { timeoutMs: waitMs + RESPONSE_MARGIN_MS },
+      const response = await callWithin(waitMs, async (signal) =>
+        this.#client.watchConfig(
+          { version: BigInt(version), waitMs },
+          { signal },
+        ),
       );
       const { ageMs } = response;
       if (ageMs === undefined || ageMs > MAX_VIEW_AGE_MS)
@@ -78,9 +80,8 @@
       return { ok: true, value: { ...known, type: "changes", changes: [] } };
     }
     try {
-      const response = await this.#client.watchRunners(
-        { asOf: BigInt(asOf), waitMs },
-        { timeoutMs: waitMs + RESPONSE_MARGIN_MS },
+      const response = await callWithin(waitMs, async (signal) =>
+        this.#client.watchRunners({ asOf: BigInt(asOf), waitMs }, { signal }),
       );
       const { ageMs } = response;
       if (ageMs === undefined || ageMs > MAX_VIEW_AGE_MS)
@@ -100,6 +101,23 @@
   }
 }
 
+// The peer gets no time limit, which it would apply to a response that is ready
+// after a stall of its own.
+async function callWithin<Value>(
+  waitMs: number,
+  call: (signal: AbortSignal) => Promise<Value>,
+): Promise<Value> {
+  const abort = new AbortController();
+  const stopTimer = setPatientTimeout(() => {
+    abort.abort(new ConnectError("the call timed out", Code.DeadlineExceeded));
+  }, waitMs + RESPONSE_MARGIN_MS);
+  try {
+    return await call(abort.signal);
+  } finally {
+    stopTimer();
+  }
+}
+
 function staleView(ageMs: number | undefined): Result<never, string> {
   const view =
     ageMs === undefined ? "no current view" : `a view ${ageMs} ms old`;
--- a/packages/gateway/src/views/store_read_health.ts
+++ b/packages/gateway/src/views/store_read_health.ts
@@ -1,5 +1,5 @@
 import type { Logger } from "@jujubeladder/logger";
-import { monotonicMs } from "@jujubeladder/utils";
+import { monotonicMs, setPatientTimeout } from "@jujubeladder/utils";
 
 /** A shorter interruption is merely a reconnect and not an outage. */
 const MIN_OUTAGE_MS = 1_000;
@@ -13,7 +13,8 @@
   readonly #onRecovered: () => void;
   #failingSinceMs: number | undefined;
   #failures = 0;
-  #dueAtMs = Number.POSITIVE_INFINITY;
+  #isOverdue = false;
+  #stopTimer: () => void = () => undefined;
 
   constructor(
     name: string,
@@ -31,15 +32,19 @@
 
   /** False while calls fail or one is overdue. */
   get isHealthy(): boolean {
-    return this.#failingSinceMs === undefined && monotonicMs() < this.#dueAtMs;
+    return this.#failingSinceMs === undefined && !this.#isOverdue;
   }
 
   /** Records the start of a call, which the store may hold for `waitMs`. */
   recordCall(waitMs: number): void {
-    this.#dueAtMs = monotonicMs() + waitMs + RESPONSE_MARGIN_MS;
+    this.#endCall();
+    this.#stopTimer = setPatientTimeout(() => {
+      this.#isOverdue = true;
+    }, waitMs + RESPONSE_MARGIN_MS);
   }
 
   recordFailure(reason: string): void {
+    this.#endCall();
     this.#failures += 1;
     if (this.#failingSinceMs !== undefined) return;
     this.#failingSinceMs = monotonicMs();
@@ -47,7 +52,7 @@
   }
 
   recordSuccess(): void {
-    this.#dueAtMs = Number.POSITIVE_INFINITY;
+    this.#endCall();
     if (this.#failingSinceMs === undefined) return;
     const outageMs = monotonicMs() - this.#failingSinceMs;
     const failures = this.#failures;
@@ -60,4 +65,9 @@
     });
     if (outageMs >= MIN_OUTAGE_MS) this.#onRecovered();
   }
+
+  #endCall(): void {
+    this.#stopTimer();
+    this.#isOverdue = false;
+  }
 }
--- a/packages/utils/src/mod.ts
+++ b/packages/utils/src/mod.ts
@@ -15,5 +15,6 @@
 export { RendezvousOrder } from "./rendezvous_order.js";
 export { readClocks } from "./read_clocks.js";
 export { SealBox } from "./seal_box.js";
+export { setPatientTimeout } from "./set_patient_timeout.js";
 export { settleWithin } from "./settle_within.js";
 export { sleep } from "./sleep.js";
