Read the runners at once when another reader is replaced

Seen: after all followers had lost their reader in the same moment, each next one in the ranking was rejected in turn ("the peer has a view 1975 ms old"), until 3 or 4 of 4 instances read the store for 3 s.

Cause: the successor kept the revision from the old reader and began with a watch of 0.7 s, so its view stayed as old as the old reader's for that long; its followers ask it meanwhile, for the same 0.7 s, and get a view over the limit of 1.8 s.

Change: its first watch waits 1 ms. That is one more read per change of the reader. The configuration was read at once already.

--- a/packages/gateway/src/views/sync_runners.ts
+++ b/packages/gateway/src/views/sync_runners.ts
@@ -10,6 +10,11 @@
 
 /** Views obtained through a peer are up to twice this old. */
 const WATCH_WAIT_MS = 700;
+/**
+ * Wait of the first watch after another instance was the reader. Peers may ask
+ * this instance now, and would reject a view that dates from that reader.
+ */
+const FIRST_WATCH_WAIT_MS = 1;
 const CALL_TIMEOUT_MS = 1_000;
 /** A failed watch is resumed; after this many failures the list is reread. */
 const MAX_WATCH_FAILURES = 2;
@@ -33,11 +38,14 @@
 ): Promise<void> {
   const { readerProvider, signal } = dependencies;
   let asOf: number | undefined;
+  let wasReader = false;
   while (!signal.aborted) {
     const reader = readerProvider.find();
+    const waitMs = wasReader ? WATCH_WAIT_MS : FIRST_WATCH_WAIT_MS;
     asOf = reader
       ? await syncFromReader(dependencies, reader, asOf)
-      : await syncFromStore(dependencies, asOf);
+      : await syncFromStore(dependencies, asOf, waitMs);
+    wasReader = !reader;
   }
 }
 
@@ -73,10 +81,11 @@
 async function syncFromStore(
   dependencies: RunnerSyncDependencies,
   asOf: number | undefined,
+  waitMs: number,
 ): Promise<number | undefined> {
   return asOf === undefined
     ? await readList(dependencies)
-    : await watchList(dependencies, asOf);
+    : await watchList(dependencies, { asOf, waitMs });
 }
 
 async function readList({
@@ -112,14 +121,20 @@
     watchCache,
     signal,
   }: RunnerSyncDependencies,
-  asOf: number,
+  {
+    asOf,
+    waitMs,
+  }: {
+    readonly asOf: number;
+    readonly waitMs: number;
+  },
 ): Promise<number | undefined> {
   const readAt = readClocks();
-  health.recordCall(WATCH_WAIT_MS);
+  health.recordCall(waitMs);
   const result = await store.watchRunners({
     asOf,
-    waitMs: WATCH_WAIT_MS,
-    timeoutMs: WATCH_WAIT_MS + CALL_TIMEOUT_MS,
+    waitMs,
+    timeoutMs: waitMs + CALL_TIMEOUT_MS,
   });
   if (!result.ok) {
     health.recordFailure(result.error);
