--- a/packages/coordination/src/__tests__/peer_datagrams.test.ts
+++ b/packages/coordination/src/__tests__/peer_datagrams.test.ts
@@ -150,6 +150,36 @@
   assert.equal(b.received, ["a"]);
 });
 
+test("addresses and values that cannot be sent end nothing", async () => {
+  const a = await openPeer("a");
+  for (const port of [0, Number.NaN, 70_000]) {
+    const endpoint = { host: HOST, port };
+    const digest = createDigest("a");
+    assert.is(await a.socket.exchangeDigests(endpoint, digest), undefined);
+  }
+  const view = create(ViewStateSchema, { configAgeMs: 2 ** 33 });
+  a.socket.announceView({ host: HOST, port: a.endpoint.port }, view);
+});
+
+test("a handler that throws leaves the socket open", async () => {
+  const a = await openPeer("a");
+  const failing = new PeerDatagrams(new Logger({}));
+  const endpoint = { host: HOST, port: await reservePort() };
+  await failing.listen(endpoint, {
+    digest: () => {
+      throw new Error("no digest");
+    },
+    viewQuery: () => VIEW,
+    viewAnnouncement: () => undefined,
+  });
+  closers.push(() => {
+    failing.close();
+  });
+  const digest = createDigest("a");
+  assert.is(await a.socket.exchangeDigests(endpoint, digest), undefined);
+  assert.equal(await a.socket.queryView(endpoint), VIEW);
+});
+
 test("a socket whose port is taken exchanges nothing", async () => {
   const a = await openPeer("a");
   const second = new PeerDatagrams(new Logger({}));
--- a/packages/coordination/src/peer_datagrams.ts
+++ b/packages/coordination/src/peer_datagrams.ts
@@ -149,29 +149,53 @@
       if (isFromPeer) pending.settle(content);
       return;
     }
-    const answer = handle(content, from, handlers);
+    const answer = this.#handle(content, from, handlers);
     if (answer) {
       this.#send(from, { exchangeId, isAnswer: true, content: answer });
     }
   }
 
+  // A datagram must not end the process, whatever it says.
+  #handle(
+    content: Content,
+    from: DatagramEndpoint,
+    handlers: DatagramHandlers,
+  ): Content | undefined {
+    try {
+      return handle(content, from, handlers);
+    } catch (error) {
+      this.#logger.warn("peer_datagram_refused", {
+        peer: `${from.host}:${from.port}`,
+        reason: describeError(error),
+      });
+      return undefined;
+    }
+  }
+
   #send(
     to: DatagramEndpoint,
     datagram: Pick<PeerDatagram, "exchangeId" | "isAnswer" | "content">,
   ): boolean {
     if (!this.#socket) return false;
-    const bytes = toBinary(
-      PeerDatagramSchema,
-      create(PeerDatagramSchema, datagram),
-    );
-    if (bytes.length > MAX_DATAGRAM_BYTES) return false;
-    this.#socket.send(bytes, to.port, to.host, (error) => {
-      if (!error) return;
+    const fail = (error: unknown) => {
       this.#logger.warn("peer_datagram_not_sent", {
         peer: `${to.host}:${to.port}`,
         reason: describeError(error),
       });
-    });
+    };
+    try {
+      const bytes = toBinary(
+        PeerDatagramSchema,
+        create(PeerDatagramSchema, datagram),
+      );
+      if (bytes.length > MAX_DATAGRAM_BYTES) return false;
+      this.#socket.send(bytes, to.port, to.host, (error) => {
+        if (error) fail(error);
+      });
+    } catch (error) {
+      fail(error);
+      return false;
+    }
     return true;
   }
 }
--- a/packages/gateway/src/mesh/read_view_state.ts
+++ b/packages/gateway/src/mesh/read_view_state.ts
@@ -24,9 +24,12 @@
   });
 }
 
+/** Peers reject views far younger than this. */
+const MAX_AGE_MS = 10_000;
+
 // No age tells peers to choose another reader.
 function toAge(health: StoreReadHealth, ageMs: number): number | undefined {
-  return health.isHealthy && Number.isFinite(ageMs)
+  return health.isHealthy && ageMs <= MAX_AGE_MS
     ? Math.ceil(Math.max(0, ageMs))
     : undefined;
 }
