Count the ages of views from before their query

Found by review of: a watch that joined a query already sent counted the view's age from its own start, up to 0.4 s too young, and after a suspension without bound, so that a key could pass for valid too long. A watch now joins only a query that is still to be sent (new case in view_poller.test.ts).

--- a/packages/gateway/src/__tests__/view_poller.test.ts
+++ b/packages/gateway/src/__tests__/view_poller.test.ts
@@ -49,6 +49,32 @@
   assert.ok(second - first < 200, `${second - first} ms`);
 });
 
+test("a view that was asked for before does not serve a later watch", async () => {
+  const answers: (() => void)[] = [];
+  const poller = new ViewPoller(
+    async () =>
+      new Promise((resolve) => {
+        answers.push(() => {
+          resolve(VIEW);
+        });
+      }),
+  );
+  const first = poller.poll(READER);
+  await sleep(10);
+  assert.is(answers.length, 1);
+  let hasSecondEnded = false;
+  const second = poller.poll(READER).then(() => {
+    hasSecondEnded = true;
+  });
+  answers[0]?.();
+  await first;
+  await sleep(10);
+  assert.not(hasSecondEnded);
+  await sleep(400);
+  answers[1]?.();
+  await second;
+});
+
 /** Watches through a peer with the given view; counts calls to it. */
 function createReader(view: typeof VIEW | undefined) {
   const calls: string[] = [];
--- a/packages/gateway/src/mesh/peer_store_reader.ts
+++ b/packages/gateway/src/mesh/peer_store_reader.ts
@@ -8,6 +8,8 @@
 
 /** Time for a response to arrive after the requested wait has ended. */
 const RESPONSE_MARGIN_MS = 300;
+/** Wait of a call after an unanswered query, which has taken its time. */
+const UNANSWERED_WAIT_MS = 1;
 /** Older views are rejected, as a leaving runner gives only 2 s of notice. */
 const MAX_VIEW_AGE_MS = 1_800;
 
@@ -34,8 +36,9 @@
   }): Promise<
     Result<{ readonly version: number; readonly ageMs: number }, string>
   > {
-    const { version, waitMs } = options;
+    const { version } = options;
     const view = await this.#pollView();
+    const waitMs = view ? options.waitMs : UNANSWERED_WAIT_MS;
     // A peer that is behind may catch up during the call.
     if (view && Number(view.configVersion) >= version) {
       const { configAgeMs: ageMs } = view;
@@ -66,8 +69,9 @@
     readonly asOf: number;
     readonly waitMs: number;
   }): Promise<Result<RunnerListUpdate, string>> {
-    const { asOf, waitMs } = options;
+    const { asOf } = options;
     const view = asOf > 0 ? await this.#pollView() : undefined;
+    const waitMs = view ? options.waitMs : UNANSWERED_WAIT_MS;
     const isUnchanged =
       view &&
       Number(view.runnersAsOf) >= asOf &&
--- a/packages/gateway/src/mesh/view_poller.ts
+++ b/packages/gateway/src/mesh/view_poller.ts
@@ -21,6 +21,7 @@
     | {
         readonly peer: DatagramEndpoint;
         readonly view: Promise<ViewState | undefined>;
+        isSent: boolean;
       }
     | undefined;
 
@@ -30,14 +31,20 @@
     this.#query = query;
   }
 
-  /** Returns the peer's next view; undefined if it does not answer. */
+  /**
+   * Returns the peer's next view; undefined if it does not answer. The view is
+   * asked for after this call, so that its ages can be counted from it.
+   */
   async poll(peer: DatagramEndpoint): Promise<ViewState | undefined> {
     const { host, port } = this.#current?.peer ?? {};
-    if (!this.#current || host !== peer.host || port !== peer.port) {
-      const view = this.#pauseAndQuery(peer).finally(() => {
+    const isOther = host !== peer.host || port !== peer.port;
+    if (!this.#current || isOther || this.#current.isSent) {
+      const view = this.#pauseAndQuery(peer, () => {
+        if (this.#current?.view === view) this.#current.isSent = true;
+      }).finally(() => {
         if (this.#current?.view === view) this.#current = undefined;
       });
-      this.#current = { peer, view };
+      this.#current = { peer, view, isSent: false };
     }
     return await this.#current.view;
   }
@@ -50,22 +57,29 @@
     this.#wake?.();
   }
 
-  async #pauseAndQuery(peer: DatagramEndpoint): Promise<ViewState | undefined> {
+  async #pauseAndQuery(
+    peer: DatagramEndpoint,
+    onSend: () => void,
+  ): Promise<ViewState | undefined> {
     const pauseMs = this.#queriedAtMs + QUERY_INTERVAL_MS - monotonicMs();
-    if (pauseMs > 0 && !this.#isAnnounced) await this.#pause(pauseMs);
+    // Waits in any case, so that the caller can record this query first.
+    await this.#pause(this.#isAnnounced ? 0 : Math.max(0, pauseMs));
     this.#isAnnounced = false;
     this.#queriedAtMs = monotonicMs();
+    onSend();
     return await this.#query(peer);
   }
 
   async #pause(pauseMs: number): Promise<void> {
+    if (pauseMs === 0) return;
     await new Promise<void>((resolve) => {
       const timer = setTimeout(resolve, pauseMs);
-      this.#wake = () => {
+      const wake = () => {
         clearTimeout(timer);
+        if (this.#wake === wake) this.#wake = undefined;
         resolve();
       };
+      this.#wake = wake;
     });
-    this.#wake = undefined;
   }
 }
