Revert "Notice callers that leave while a run is being stopped"

This reverts, which states a fault that does not exist: that a request was sent to the next runner although its caller had left while the run before was being stopped.

Found on reading the change again: no test came with it. A script that runs an attempt whose caller has left shows why: 0 bytes are written, on a kept connection and on a new one, as runAttempt cancels before the client writes.

--- a/packages/gateway/src/__tests__/run_attempt.test.ts
+++ b/packages/gateway/src/__tests__/run_attempt.test.ts
@@ -7,7 +7,10 @@
 import { HttpConnection } from "../transport/http_connection.js";
 
 /** Outcome of an attempt on a connection that has been open for a while. */
-async function attempt(onConnection: (socket: Socket) => void) {
+async function attempt(
+  onConnection: (socket: Socket) => void,
+  signal = new AbortController().signal,
+) {
   let receivedBytes = 0;
   const server = createServer((socket) => {
     socket.on("error", () => undefined);
@@ -35,7 +38,7 @@
     target: "/",
     headers: ["host", host],
     body: Buffer.from("order"),
-    signal: new AbortController().signal,
+    signal,
     remainingMs: 1_000,
   });
   await sleep(50);
@@ -74,6 +77,11 @@
   assert.equal(result, UNSENT);
 });
 
+test("nothing is sent for a caller that has left before", async () => {
+  const result = await attempt(() => undefined, AbortSignal.abort());
+  assert.equal(result, { ...UNSENT, type: "caller_left" });
+});
+
 test("a request that a runner resets after reading may have run", async () => {
   const result = await attempt((socket) => {
     socket.once("data", () => socket.resetAndDestroy());
--- a/packages/gateway/src/relay/request_relay.ts
+++ b/packages/gateway/src/relay/request_relay.ts
@@ -205,8 +205,6 @@
           target: runner,
           maxWaitMs: remainingMs(context),
         });
-        if (context.response.disconnectSignal.aborted)
-          return { type: "caller_left" };
       }
       const opened = await pool.acquire(runner, {
         mustBeNew: !mayRetry(route.retryPolicy) || continueFrom !== undefined,
