Test what views tell, and parse addresses in one place

Three statements of the code on views had no test that fails without them: an instance that cannot read the store tells no age, a follower that no longer asks is not told of changes, and a call after an unanswered query does not wait.

The address of an instance was split in two places, PeerRoster and the provider of store readers, which now share parseAddress. Two ticket tests share what they set up; their assertions are unchanged.

--- a/packages/coordination/src/__tests__/ticket_service.test.ts
+++ b/packages/coordination/src/__tests__/ticket_service.test.ts
@@ -20,18 +20,60 @@
 /** Ends the loop that forwarding to itself would cause. */
 const MAX_CALLS = 20;
 
-test("a restarted instance does not forward its former tickets to itself", async () => {
-  const identity = { instanceId: "entry-1", incarnation: "second" };
-  const sealBox = new SealBox(["a secret"], "ticket");
+const IDENTITY = { instanceId: "entry-1", incarnation: "second" };
+const SEAL_BOX = new SealBox(["a secret"], "ticket");
+const BODY = { bytes: new Uint8Array(), contentType: "" };
+
+function createService(options: {
+  readonly directory: PeerDirectory;
+  readonly witnessLedger: WitnessLedger;
+  readonly servesIncarnation: (incarnation: string) => boolean;
+}): TicketService {
+  const { directory, witnessLedger, servesIncarnation } = options;
   const successions = new Successions(1_000);
-  const body = { bytes: new Uint8Array(), contentType: "" };
+  return new TicketService({
+    identity: IDENTITY,
+    limits: LIMITS,
+    sealBox: SEAL_BOX,
+    membership: { availabilityZone: "r1-a" } as never,
+    directory,
+    successions,
+    ledger: new OwnerLedger(LIMITS),
+    witness: new WitnessClient({
+      ledger: witnessLedger,
+      directory,
+      successions,
+      servesIncarnation,
+    }),
+    dispatch: () => Promise.reject(new Error("unexpected dispatch")),
+    servesIncarnation,
+    logger: new Logger({}),
+  });
+}
+
+function createTicket(options: {
+  readonly owner: typeof IDENTITY;
+  readonly expiresAtMs: number;
+}) {
+  return {
+    ticketId: "t1",
+    serviceId: "filing",
+    teamId: "team-a",
+    method: "POST",
+    path: "/",
+    witness: { instanceId: "entry-2", incarnation: "witness" },
+    ...options,
+  };
+}
+
+test("a restarted instance does not forward its former tickets to itself", async () => {
   let calls = 0;
   const server = await servePeers(
     {
       runTicket: async ({ ticket }) => {
         calls += 1;
         if (calls > MAX_CALLS) return { isNotOwner: true };
-        const result = await service.runForPeer(ticket, body);
+        const result = await service.runForPeer(ticket, BODY);
         return result ? { result } : { isNotOwner: true };
       },
     },
@@ -45,38 +87,18 @@
     availabilityZone: "r1-a",
     state: "live",
   }));
-  const servesIncarnation = (incarnation: string) =>
-    incarnation === identity.incarnation || incarnation === "witness";
-  const service = new TicketService({
-    identity,
-    limits: LIMITS,
-    sealBox,
-    membership: { availabilityZone: "r1-a" } as never,
+  const service = createService({
     directory,
-    successions,
-    ledger: new OwnerLedger(LIMITS),
-    witness: new WitnessClient({
-      ledger: new WitnessLedger(LIMITS),
-      directory,
-      successions,
-      servesIncarnation,
-    }),
-    dispatch: () => Promise.reject(new Error("unexpected dispatch")),
-    servesIncarnation,
-    logger: new Logger({}),
+    witnessLedger: new WitnessLedger(LIMITS),
+    servesIncarnation: (incarnation) =>
+      incarnation === IDENTITY.incarnation || incarnation === "witness",
   });
-  const ticket = {
-    ticketId: "t1",
-    serviceId: "filing",
-    teamId: "team-a",
-    method: "POST",
-    path: "/",
-    owner: { instanceId: "entry-1", incarnation: "first" },
-    witness: { instanceId: "entry-2", incarnation: "witness" },
+  const ticket = createTicket({
+    owner: { ...IDENTITY, incarnation: "first" },
     expiresAtMs: Date.now() + LIMITS.ticketTtlMs,
-  };
+  });
   try {
-    const result = await service.run(ticket, sealBox.seal(ticket), body);
+    const result = await service.run(ticket, SEAL_BOX.seal(ticket), BODY);
     assert.is(result.outcome, "not_run");
     assert.is(calls, 0);
   } finally {
@@ -86,43 +108,16 @@
 });
 
 test("a ticket that another owner started is never said to be not run", async () => {
-  const identity = { instanceId: "entry-1", incarnation: "second" };
-  const sealBox = new SealBox(["a secret"], "ticket");
-  const successions = new Successions(1_000);
   const witnessLedger = new WitnessLedger(LIMITS);
   const expiresAtMs = Date.now() + LIMITS.ticketTtlMs;
   witnessLedger.recordStart("t1", { ownerIncarnation: "other", expiresAtMs });
-  const servesIncarnation = () => true;
-  const service = new TicketService({
-    identity,
-    limits: LIMITS,
-    sealBox,
-    membership: { availabilityZone: "r1-a" } as never,
+  const service = createService({
     directory: undefined as never,
-    successions,
-    ledger: new OwnerLedger(LIMITS),
-    witness: new WitnessClient({
-      ledger: witnessLedger,
-      directory: undefined as never,
-      successions,
-      servesIncarnation,
-    }),
-    dispatch: () => Promise.reject(new Error("unexpected dispatch")),
-    servesIncarnation,
-    logger: new Logger({}),
+    witnessLedger,
+    servesIncarnation: () => true,
   });
-  const ticket = {
-    ticketId: "t1",
-    serviceId: "filing",
-    teamId: "team-a",
-    method: "POST",
-    path: "/",
-    owner: identity,
-    witness: { instanceId: "entry-2", incarnation: "witness" },
-    expiresAtMs,
-  };
-  const body = { bytes: new Uint8Array(), contentType: "" };
-  const result = await service.run(ticket, sealBox.seal(ticket), body);
+  const ticket = createTicket({ owner: IDENTITY, expiresAtMs });
+  const result = await service.run(ticket, SEAL_BOX.seal(ticket), BODY);
   assert.is(result.outcome, "may_have_run");
 });
 
--- a/packages/gateway/src/__tests__/view_poller.test.ts
+++ b/packages/gateway/src/__tests__/view_poller.test.ts
@@ -1,11 +1,16 @@
 import { create } from "@bufbuild/protobuf";
 import { ViewStateSchema } from "@jujubeladder/protocol";
+import { Logger } from "@jujubeladder/logger";
 import { sleep } from "@jujubeladder/utils";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import { PeerStoreReader } from "../mesh/peer_store_reader.js";
+import { readViewState } from "../mesh/read_view_state.js";
 import { ViewFollowers } from "../mesh/view_followers.js";
 import { ViewPoller } from "../mesh/view_poller.js";
+import type { ActiveConfig } from "../views/active_config.js";
+import { RunnerWatchCache } from "../views/runner_watch_cache.js";
+import { StoreReadHealth } from "../views/store_read_health.js";
 
 const READER = { host: "10.0.0.1", port: 7_200 };
 const OTHER = { host: "10.0.0.2", port: 7_200 };
@@ -75,22 +80,26 @@
   await second;
 });
 
-/** Watches through a peer with the given view; counts calls to it. */
+/** Watches through a peer with the given view; lists calls and their waits. */
 function createReader(view: typeof VIEW | undefined) {
   const calls: string[] = [];
+  const waitsMs: number[] = [];
   const client = {
-    watchConfig: async () => {
+    watchConfig: async ({ waitMs }: { readonly waitMs: number }) => {
       calls.push("config");
+      waitsMs.push(waitMs);
       return { version: 7n, ageMs: 1 };
     },
-    watchRunners: async () => {
+    watchRunners: async ({ waitMs }: { readonly waitMs: number }) => {
       calls.push("runners");
+      waitsMs.push(waitMs);
       return { asOf: 90n, ageMs: 1, isList: false, entries: [] };
     },
   };
   return {
     reader: new PeerStoreReader("peer", client as never, async () => view),
     calls,
+    waitsMs,
   };
 }
 
@@ -126,6 +135,13 @@
   assert.equal(calls, ["config"]);
 });
 
+test("a call after an unanswered query does not wait for a change", async () => {
+  const { reader, waitsMs } = createReader(undefined);
+  await reader.watchConfig({ version: 7, waitMs: 700 });
+  await reader.watchRunners({ asOf: 85, waitMs: 700 });
+  assert.equal(waitsMs, [1, 1]);
+});
+
 for (const ages of [
   {},
   { configAgeMs: 60_000, runnersAgeMs: 60_000 },
@@ -144,7 +160,46 @@
   });
 }
 
-test("followers are those that asked lately, and are bounded", async () => {
+test("an instance that cannot read the store tells no ages", () => {
+  const logger = new Logger({});
+  const configHealth = new StoreReadHealth("configuration", { logger });
+  const runnersHealth = new StoreReadHealth("runners", { logger });
+  const watchCache = new RunnerWatchCache();
+  const readAt = { monotonicMs: performance.now(), wallMs: Date.now() };
+  const read = (confirmedAgeMs: number) => {
+    const activeConfig = { version: 7, confirmedAgeMs } as ActiveConfig;
+    const dependencies = { activeConfig, configHealth, watchCache };
+    return readViewState({ ...dependencies, runnersHealth });
+  };
+  assert.is(read(20).runnersAgeMs, undefined, "nothing has been read yet");
+  watchCache.replaceList([], { asOf: 90, readAt });
+  assert.is(read(20).configAgeMs, 20);
+  assert.type(read(20).runnersAgeMs, "number");
+  assert.is(read(2 ** 40).configAgeMs, undefined, "beyond the wire's range");
+  configHealth.recordFailure("reset");
+  runnersHealth.recordFailure("reset");
+  assert.is(read(20).configAgeMs, undefined);
+  assert.is(read(20).runnersAgeMs, undefined);
+});
+
+test("a follower that no longer asks is not told of changes", () => {
+  const { now } = performance;
+  let nowMs = 0;
+  performance.now = () => nowMs;
+  try {
+    const followers = new ViewFollowers();
+    followers.record(READER);
+    nowMs = 1_500;
+    followers.record(OTHER);
+    assert.equal(followers.list(), [READER, OTHER]);
+    nowMs = 2_500;
+    assert.equal(followers.list(), [OTHER]);
+  } finally {
+    performance.now = now;
+  }
+});
+
+test("followers are bounded, and the last to ask stay", () => {
   const followers = new ViewFollowers();
   for (let port = 0; port < 1_000; port += 1) {
     followers.record({ host: "10.0.0.1", port });
--- a/packages/gateway/src/mesh/peer_roster.ts
+++ b/packages/gateway/src/mesh/peer_roster.ts
@@ -1,5 +1,6 @@
 import type { Instance } from "@jujubeladder/types";
 import { monotonicMs } from "@jujubeladder/utils";
+import { parseAddress } from "./parse_address.js";
 
 /** A peer is evicted if no sign of it arrived for this long. */
 const PEER_TTL_MS = 10_000;
@@ -147,11 +148,11 @@
     availabilityZone: "",
   },
 ): Instance {
-  const colon = address.lastIndexOf(":");
+  const { host, port } = parseAddress(address);
   return {
     instanceId: address,
-    host: address.slice(0, colon),
-    peerPort: Number(address.slice(colon + 1)),
+    host,
+    peerPort: port,
     ...location,
     state: "live",
   };
--- a/packages/gateway/src/mesh/peer_store_reader_provider.ts
+++ b/packages/gateway/src/mesh/peer_store_reader_provider.ts
@@ -1,10 +1,8 @@
-import type {
-  DatagramEndpoint,
-  PeerDirectory,
-} from "@jujubeladder/coordination";
+import type { PeerDirectory } from "@jujubeladder/coordination";
 import type { Logger } from "@jujubeladder/logger";
 import type { StoreReaderSelector } from "../decisions/store_reader_selector.js";
 import type { StoreReader } from "../model/store_reader.js";
+import { parseAddress } from "./parse_address.js";
 import { PeerStoreReader } from "./peer_store_reader.js";
 import type { ViewPoller } from "./view_poller.js";
 
@@ -55,12 +53,3 @@
     });
   }
 }
-
-// An instance's id is the address of its peer port.
-function parseAddress(instanceId: string): DatagramEndpoint {
-  const separator = instanceId.lastIndexOf(":");
-  return {
-    host: instanceId.slice(0, separator),
-    port: Number(instanceId.slice(separator + 1)),
-  };
-}
--- a/packages/gateway/src/mesh/read_view_state.ts
+++ b/packages/gateway/src/mesh/read_view_state.ts
@@ -4,6 +4,9 @@
 import type { RunnerWatchCache } from "../views/runner_watch_cache.js";
 import type { StoreReadHealth } from "../views/store_read_health.js";
 
+/** Peers reject younger views than this already. */
+const MAX_AGE_MS = 10_000;
+
 /** Returns what this instance has read of the store. */
 export function readViewState(dependencies: {
   readonly activeConfig: ActiveConfig;
@@ -24,9 +27,6 @@
   });
 }
 
-/** Peers reject views far younger than this. */
-const MAX_AGE_MS = 10_000;
-
 // No age tells peers to choose another reader.
 function toAge(health: StoreReadHealth, ageMs: number): number | undefined {
   return health.isHealthy && ageMs <= MAX_AGE_MS
