--- a/packages/gateway/src/relay/run_migrator.ts
+++ b/packages/gateway/src/relay/run_migrator.ts
@@ -86,7 +86,7 @@
     return migration;
   }
 
-  /** Stops a run that was given up and is about to start anew on `target`. */
+  /** Stops a run whose stream has ended before it starts anew on `target`. */
   async stop(
     { service, request }: RequestContext,
     run: AbandonedRun,
--- a/packages/gateway/src/relay/stop_abandoned_run.ts
+++ b/packages/gateway/src/relay/stop_abandoned_run.ts
@@ -14,9 +14,9 @@
 const ANSWER_TIMEOUT_MS = 4_000;
 
 /**
- * Asks an engine to stop a run that this instance gave up and is about to start
- * anew on `target`, which the route allows. Returns once the engine answers,
- * or after a short time without an answer.
+ * Asks an engine to stop a run whose stream has ended early and which is about
+ * to start anew on `target`, as the route allows. Returns once the engine
+ * answers, or after a short time without an answer.
  */
 export async function stopAbandonedRun(
   dependencies: { readonly control: EngineControl; readonly logger: Logger },
--- a/packages/gateway/src/views/sync_config.ts
+++ b/packages/gateway/src/views/sync_config.ts
@@ -8,8 +8,8 @@
 
 /**
  * Each response also confirms the version, so the wait limits the age of the
- * confirmation: four waits if a peer reads the store, which is well below the
- * age at which API keys are rejected.
+ * confirmation. Also if a peer reads the store, it stays below the age at which
+ * API keys are rejected.
  */
 const WATCH_WAIT_MS = 700;
 /** Detects connections that have stopped responding. */
--- a/packages/gateway/src/views/sync_runners.ts
+++ b/packages/gateway/src/views/sync_runners.ts
@@ -8,7 +8,7 @@
 import type { RunnerWatchCache } from "./runner_watch_cache.js";
 import type { StoreReadHealth } from "./store_read_health.js";
 
-/** Views obtained through a peer are up to twice this old. */
+/** The view of an instance that reads the store is up to twice this old. */
 const WATCH_WAIT_MS = 700;
 /**
  * Wait of the first watch after another instance was the reader. Peers may ask
