Do not blame runners for requests that fail everywhere

Ruled out: a runner or a pair of runners (9 to 16 of each pair's 12 to 19 repeats fail).

Change: FailureBlame decides once the request has ended. A runner is blamed if another one succeeded, or if nothing else was tried.

Left out: remembering such requests to save the repeat. A caller's own repeat goes to another instance, so each would have to be told to the fleet, and callers would not notice the difference.

--- a/packages/gateway/src/relay/relay_progress.ts
+++ b/packages/gateway/src/relay/relay_progress.ts
@@ -1,3 +1,4 @@
+import type { FailureBlame } from "../decisions/failure_blame.js";
 import type { GatewayRunner } from "../model/gateway_runner.js";
 import type { KvCacheRef } from "../model/kv_cache_ref.js";
 import type { AbandonedRun } from "./abandoned_run.js";
@@ -20,6 +21,8 @@
   lastReason: string;
   /** Last complete 5xx response, delivered if no retry succeeds. */
   lastFailure: Extract<AttemptOutcome, { type: "answered" }> | undefined;
+  /** Runners that answered with a server error. */
+  readonly failures: FailureBlame;
   /** Connection of the last attempt; undefined if nothing was sent. */
   lastConnection: AttemptConnection | undefined;
   /** A run to stop before the request is sent to another runner. */
--- a/packages/gateway/src/relay/request_relay.ts
+++ b/packages/gateway/src/relay/request_relay.ts
@@ -3,6 +3,7 @@
 import type { Metrics } from "@jujubeladder/metrics";
 import { monotonicMs } from "@jujubeladder/utils";
 import { estimateRetryAfterMs } from "../decisions/estimate_retry_after_ms.js";
+import { FailureBlame } from "../decisions/failure_blame.js";
 import type { OutlierScores } from "../decisions/outlier_scores.js";
 import { RateMeter } from "../decisions/rate_meter.js";
 import type { FleetRetryBudget } from "../decisions/fleet_retry_budget.js";
@@ -91,11 +92,16 @@
       mayHaveExecuted: false,
       lastReason: "",
       lastFailure: undefined,
+      failures: new FailureBlame(),
       lastConnection: undefined,
       abandonedRun: undefined,
       continueAt: undefined,
     };
     const outcome = await this.#runAttempts(context, session, progress);
+    const hasSucceeded =
+      outcome.type === "delivered" && outcome.statusCode < 500;
+    for (const runnerId of progress.failures.listBlamed(hasSucceeded))
+      this.#dependencies.outliers.record(runnerId, true);
     if (session)
       recordStream(this.#dependencies, context, { session, progress });
     return outcome;
@@ -321,8 +327,7 @@
         return { type: "cut", reason: "the last run may not be whole" };
       case "answered": {
         const isFailure = outcome.head.statusCode >= 500;
-        if (isFailure)
-          this.#dependencies.outliers.record(runner.runnerId, true);
+        if (isFailure) progress.failures.recordFailure(runner.runnerId);
         else this.#recordSuccess(context, runner);
         if (isFailure && canRetry && !context.response.isHeadSent) {
           progress.executionCount += 1;
