--- a/packages/gateway/src/__tests__/run_migration.test.ts
+++ b/packages/gateway/src/__tests__/run_migration.test.ts
@@ -107,10 +107,11 @@
   let used: string | undefined;
   if (end !== "run completes") {
     const resolved = await settleWithin(
-      migration.resolveAfterBreak(
-        end === "runner ends it" ? "stream_ended" : undefined,
-        scenario.maxWaitMs,
-      ),
+      migration.resolveAfterBreak({
+        proof: end === "runner ends it" ? "stream_ended" : undefined,
+        hasStarted: true,
+        maxWaitMs: scenario.maxWaitMs,
+      }),
       5_000,
     );
     state = resolved?.type;
