End streams that carry lines of no event

Reported by other operators: a stream broke off, the next runner answered with an error, and clients found the error's text in their stream. It could where a runner answers 200 and writes the error into the stream: blocks without id and data were passed on at the stream's end, or with the next event, whatever they held (new test, failed before).

Change: a block may only hold fields, comments and blank lines. Any other line ends the attempt as broken, so that the caller's stream is resumed where the route allows it, or cut.

--- a/packages/gateway/src/__tests__/event_splitter.test.ts
+++ b/packages/gateway/src/__tests__/event_splitter.test.ts
@@ -37,6 +37,21 @@
   );
 });
 
+for (const text of [
+  "HTTP/1.1 500 Error\r\ncontent-length: 5\r\n\r\n",
+  "internal error\n\n",
+  "internal error\nid: 1\ndata: x\n\n",
+]) {
+  test(`takes no block with a line that is no field (${JSON.stringify(text)})`, () => {
+    assert.not(new EventSplitter().push(Buffer.from(text)).ok);
+  });
+}
+
+test("takes events with fields of other names", () => {
+  const text = "x-weight-versions: 3\nid: 1\nevent: token\nretry\ndata\n\n";
+  assert.is(push(new EventSplitter(), Buffer.from(text)).length, 1);
+});
+
 test("buffers a partial event", () => {
   const splitter = new EventSplitter();
   assert.is(push(splitter, Buffer.from("id: 1\ndata: x\n")).length, 0);
--- a/packages/gateway/src/relay/event_splitter.ts
+++ b/packages/gateway/src/relay/event_splitter.ts
@@ -6,6 +6,8 @@
 const CARRIAGE_RETURN = 0x0d;
 const EVENT_ID = /^id: ?(\d+)\r?$/m;
 const EVENT_FIELD = /^(?:id|data)(?::|\r?$)/m;
+/** A line that is neither blank nor a comment nor a field. */
+const FOREIGN_LINE = /^(?!\r?$|:|[\w-]+(?::|\r?$))/m;
 /**
  * Limit for one event and the comments before it; events usually carry a few
  * tokens each.
@@ -44,6 +46,9 @@
       const end = findBlockEnd(bytes, searchStart);
       if (end === undefined) break;
       const block = bytes.subarray(blockStart, end).toString("latin1");
+      // Such as the text of an error that a faulty runner adds to its stream.
+      if (FOREIGN_LINE.test(block))
+        return { ok: false, error: "the stream has a line that is no field" };
       if (EVENT_FIELD.test(block)) {
         events.push(toEvent(bytes.subarray(eventStart, end), block));
         eventStart = end;
