--- a/packages/gateway/src/relay/run_migrator.ts
+++ b/packages/gateway/src/relay/run_migrator.ts
@@ -140,7 +140,7 @@
       request: requestId,
       source: source.runnerId,
       backup: runner?.runnerId,
-      is_same_region: runner && runner.region === source.region,
+      zone: runner?.availabilityZone,
     });
     if (!runner) return undefined;
     const { host, port } = runner;
