Revert "Resume streams from backups on engines of the same region"

The log line of backups goes with them.

To be tried again only where an engine's load is known, as by a table of loads at a region's reader.

--- a/packages/gateway/src/decisions/advance_migration.ts
+++ b/packages/gateway/src/decisions/advance_migration.ts
@@ -1,6 +1,5 @@
 import type { GatewayRunner } from "../model/gateway_runner.js";
 import type { KvCacheRef } from "../model/kv_cache_ref.js";
-import type { RunBackup } from "../model/run_backup.js";
 import type { StopProof } from "../model/stop_proof.js";
 import type { MigrationEvent } from "./migration_event.js";
 import type { MigrationState } from "./migration_state.js";
@@ -17,7 +16,6 @@
 const UNCONFIRMED = "the source has not confirmed that the run stopped";
 
 type CopyAnswered = Extract<MigrationEvent, { type: "copy_answered" }>;
-type StreamBroke = Extract<MigrationEvent, { type: "stream_broke" }>;
 type Copying = Extract<MigrationState, { type: "copying" }>;
 type Stopping = Extract<MigrationState, { type: "stopping" }>;
 type Confirming = Extract<MigrationState, { type: "confirming" }>;
@@ -50,7 +48,7 @@
     case "time_to_stop":
       return state.type === "copied" ? stopAndCopy(state) : { state };
     case "stream_broke":
-      return onStreamBroken(state, event);
+      return onStreamBroken(state, event.proof);
     case "confirm_timed_out":
       return state.type === "confirming" ? endConfirming(state) : { state };
     case "run_ended":
@@ -191,12 +189,12 @@
   };
 }
 
-// The stream is lost, but the target holds the copy made before, or another
-// runner a backup. A source that has not been told to stop is asked in any
-// case: its connections may have been reset while it goes on.
+// The stream is lost, but the target holds the copy made before. A source that
+// has not been told to stop is asked in any case: its connections may have been
+// reset while it goes on.
 function onStreamBroken(
   state: MigrationState,
-  { proof, backup }: StreamBroke,
+  proof: StopProof | undefined,
 ): MigrationStep {
   switch (state.type) {
     case "copied":
@@ -213,30 +211,15 @@
     }
     case "idle":
     case "seeking":
-      return backup
-        ? confirmStop(backup, proof)
-        : giveUp("the stream broke before a copy was made");
     case "copying":
-      // The answer to the first copy would pass for that to the final one.
       return giveUp("the stream broke before a copy was made");
-    case "given_up":
-      return backup ? confirmStop(backup, proof) : { state };
     case "confirming":
     case "stopped":
+    case "given_up":
       return { state };
   }
 }
 
-function confirmStop(
-  { runner: target, cacheRef }: RunBackup,
-  proof: StopProof | undefined,
-): MigrationStep {
-  return {
-    state: { type: "confirming", target, cacheRef, failedStops: 0, proof },
-    action: { type: "copy", target, isFinal: true },
-  };
-}
-
 function toCacheRef({ source }: CopyAnswered, handle: string): KvCacheRef {
   return { host: source.host, port: source.port, handle };
 }
--- a/packages/gateway/src/decisions/load_tracker.ts
+++ b/packages/gateway/src/decisions/load_tracker.ts
@@ -2,8 +2,8 @@
 import type { RunnerLoad } from "../model/runner_load.js";
 import { addLoads } from "./add_loads.js";
 import { EMPTY_LOAD } from "./empty_load.js";
+import type { Placement } from "./placement.js";
 import { RegionLoads } from "./region_loads.js";
-import type { ReservedLoad } from "./reserved_load.js";
 import { scaleLoad } from "./scale_load.js";
 
 /** Load reports of peers older than this are discarded. */
@@ -25,7 +25,7 @@
  */
 export class LoadTracker {
   readonly #countPeers: () => ReadonlyMap<string, number>;
-  readonly #own = new Map<string, Set<ReservedLoad>>();
+  readonly #own = new Map<string, Set<Placement>>();
   /** The last report of each peer, in order of arrival. */
   readonly #peers = new Map<
     string,
@@ -39,13 +39,13 @@
     this.#countPeers = countPeers;
   }
 
-  place(placement: ReservedLoad): void {
+  place(placement: Placement): void {
     const placements = this.#own.get(placement.runnerId) ?? new Set();
     placements.add(placement);
     this.#own.set(placement.runnerId, placements);
   }
 
-  release(placement: ReservedLoad): void {
+  release(placement: Placement): void {
     const placements = this.#own.get(placement.runnerId);
     placements?.delete(placement);
     if (placements?.size === 0) this.#own.delete(placement.runnerId);
--- a/packages/gateway/src/decisions/migration_event.ts
+++ b/packages/gateway/src/decisions/migration_event.ts
@@ -1,6 +1,5 @@
 import type { CopyOutcome } from "../model/copy_outcome.js";
 import type { GatewayRunner } from "../model/gateway_runner.js";
-import type { RunBackup } from "../model/run_backup.js";
 import type { StopProof } from "../model/stop_proof.js";
 
 /** An event in the migration of a run. */
@@ -29,8 +28,6 @@
       readonly type: "stream_broke";
       /** Absent if this instance ended the stream. */
       readonly proof?: StopProof | undefined;
-      /** Where the run can resume if no copy has been made. */
-      readonly backup?: RunBackup | undefined;
     }
   /** The source has not confirmed in time that the run stopped. */
   | { readonly type: "confirm_timed_out" }
--- a/packages/gateway/src/decisions/placement.ts
+++ b/packages/gateway/src/decisions/placement.ts
@@ -1,10 +1,9 @@
 import type { GenerationWork } from "../model/generation_work.js";
 import type { RunnerLoad } from "../model/runner_load.js";
 import { estimatePeakTokens } from "./estimate_peak_tokens.js";
-import type { ReservedLoad } from "./reserved_load.js";
 
 /** A request placed on a runner, and the load that it causes there. */
-export class Placement implements ReservedLoad {
+export class Placement {
   readonly runnerId: string;
   readonly #work: GenerationWork | undefined;
   #producedTokens = 0;
--- a/packages/gateway/src/relay/placement_scheduler.ts
+++ b/packages/gateway/src/relay/placement_scheduler.ts
@@ -1,13 +1,11 @@
 import { FairQueue } from "@jujubeladder/scheduling";
 import { monotonicMs } from "@jujubeladder/utils";
-import { BackupReservation } from "../decisions/backup_reservation.js";
 import { chooseRunner } from "../decisions/choose_runner.js";
 import type { LoadTracker } from "../decisions/load_tracker.js";
 import type { OutlierScores } from "../decisions/outlier_scores.js";
 import { Placement } from "../decisions/placement.js";
 import type { PlacementChoice } from "../decisions/placement_choice.js";
 import { SMALL_FLEET_MAX_INSTANCES } from "../decisions/small_fleet_max_instances.js";
-import type { ReservedLoad } from "../decisions/reserved_load.js";
 import type { RunnerCandidate } from "../decisions/runner_candidate.js";
 import type { RoutedService } from "../model/routed_service.js";
 import type { GenerationWork } from "../model/generation_work.js";
@@ -159,15 +157,8 @@
     return placement;
   }
 
-  /** Reserves KV cache for a run's backup until it is released. */
-  reserveBackup(runnerId: string, work: GenerationWork): ReservedLoad {
-    const reservation = new BackupReservation(runnerId, work);
-    this.#loadTracker.place(reservation);
-    return reservation;
-  }
-
   /** Releases a reservation and dispatches the queue. */
-  release(placement: ReservedLoad): void {
+  release(placement: Placement): void {
     this.#loadTracker.release(placement);
     if (this.#queue.size > 0)
       setImmediate(() => {
--- a/packages/gateway/src/relay/request_relay.ts
+++ b/packages/gateway/src/relay/request_relay.ts
@@ -252,7 +252,6 @@
             : undefined,
           continueFrom,
           lastEventId: session?.lastEventId,
-          backup: migration?.backupRunner,
         }),
         body: context.body,
         signal: context.response.disconnectSignal,
@@ -267,14 +266,12 @@
       } else if (outcome.type === "answered" || outcome.type === "streamed") {
         pool.release(runner.runnerId, connection, head?.keepAliveMs);
       }
-      const hasStarted = (session?.eventCount ?? 0) > eventCount;
       const hasRunnerEnded = ended.endedBy === "runner";
       if (outcome.type === "broken" && migration) {
-        const state = await migration.resolveAfterBreak({
-          proof: hasRunnerEnded ? "stream_ended" : undefined,
-          hasStarted,
-          maxWaitMs: remainingMs(context),
-        });
+        const state = await migration.resolveAfterBreak(
+          hasRunnerEnded ? "stream_ended" : undefined,
+          remainingMs(context),
+        );
         if (state.type === "stopped") {
           progress.continueAt = {
             runner: state.runner,
@@ -287,6 +284,7 @@
         outcome.type === "slow" ||
         (outcome.type === "broken" && !progress.continueAt);
       if (mayGoOn && session) {
+        const hasStarted = session.eventCount > eventCount;
         progress.abandonedRun = { source: runner, hasStarted };
       }
       return outcome;
--- a/packages/gateway/src/relay/run_migration.ts
+++ b/packages/gateway/src/relay/run_migration.ts
@@ -8,7 +8,6 @@
 import type { GatewayRunner } from "../model/gateway_runner.js";
 import type { StopProof } from "../model/stop_proof.js";
 import { EndSignal } from "./end_signal.js";
-import type { ReservedBackup } from "./reserved_backup.js";
 
 /** A longer copy would outlast the notice that a leaving runner gives. */
 const COPY_TIMEOUT_MS = 4_000;
@@ -50,7 +49,6 @@
   readonly #control: EngineControl;
   readonly #targets: MigrationTargets;
   readonly #logger: Logger;
-  readonly #backup: ReservedBackup | undefined;
   readonly #refusedRunnerIds = new Set<string>();
   /** Handles of the copies that may still occupy memory. */
   readonly #handles = new Set<string>();
@@ -69,8 +67,6 @@
     readonly requestId: string;
     readonly control: EngineControl;
     readonly targets: MigrationTargets;
-    /** Backup that another runner maintains while the run continues. */
-    readonly backup?: ReservedBackup | undefined;
     readonly logger: Logger;
   }) {
     this.#source = dependencies.source;
@@ -78,12 +74,6 @@
     this.#control = dependencies.control;
     this.#targets = dependencies.targets;
     this.#logger = dependencies.logger;
-    this.#backup = dependencies.backup;
-  }
-
-  /** Runner that maintains a backup of the run. */
-  get backupRunner(): GatewayRunner | undefined {
-    return this.#backup?.runner;
   }
 
   /** True once a first copy exists, as the source may then stop the run. */
@@ -94,7 +84,7 @@
 
   /**
    * Starts the migration; the source is expected to exit at `exitAtMs`, on the
-   * monotonic clock. A backup does not replace the copy, which lags less.
+   * monotonic clock.
    */
   start(exitAtMs: number): void {
     if (this.#state.type !== "idle") return;
@@ -115,21 +105,15 @@
   }
 
   /**
-   * Called when the run's stream ended early. Waits for the source, at most
-   * `maxWaitMs`. Returns the resulting state, which holds the runner on which
-   * the run resumes, if there is one.
+   * Called when the run's stream ended early; `proof` is absent if this
+   * instance ended it. Waits for the source, at most `maxWaitMs`. Returns the
+   * resulting state, which holds the runner on which the run resumes, if there
+   * is one.
    */
-  async resolveAfterBreak({
-    proof,
-    hasStarted,
-    maxWaitMs,
-  }: {
-    /** Absent if this instance ended the stream. */
-    readonly proof: StopProof | undefined;
-    /** True if the run has made an event. */
-    readonly hasStarted: boolean;
-    readonly maxWaitMs: number;
-  }): Promise<MigrationState> {
+  async resolveAfterBreak(
+    proof: StopProof | undefined,
+    maxWaitMs: number,
+  ): Promise<MigrationState> {
     const brokeAtMs = monotonicMs();
     this.#streamEnded.end();
     const leftMs = (timeoutMs: number) =>
@@ -141,13 +125,7 @@
       if (!(proof && this.#hasFailedToStop))
         await settleWithin(this.#task, leftMs(STOP_CONFIRM_TIMEOUT_MS));
     }
-    // An engine also denies knowing a run that it has yet to start, so its
-    // denial proves a stop only of a run that has started.
-    const backup = hasStarted ? this.#backup : undefined;
-    const action = this.#advance(
-      { type: "stream_broke", proof, backup },
-      brokeAtMs,
-    );
+    const action = this.#advance({ type: "stream_broke", proof }, brokeAtMs);
     if (this.#state.type === "confirming") {
       const confirmation = action ? this.#execute(action) : this.#task;
       if (confirmation) {
@@ -175,7 +153,6 @@
     this.#ended.end();
     this.#streamEnded.end();
     this.#releaseTarget();
-    this.#backup?.release();
     if (this.#state.type !== "idle") this.#advance({ type: "run_ended" });
     this.#dropUnusedCopies();
   }
--- a/packages/gateway/src/relay/run_migrator.ts
+++ b/packages/gateway/src/relay/run_migrator.ts
@@ -1,9 +1,7 @@
 import type { Logger } from "@jujubeladder/logger";
 import type { Metrics } from "@jujubeladder/metrics";
 import { monotonicMs, sleep } from "@jujubeladder/utils";
-import { chooseBackupRunner } from "../decisions/choose_backup_runner.js";
 import { chooseMigrationTarget } from "../decisions/choose_migration_target.js";
-import { estimateOutputTokens } from "../decisions/estimate_output_tokens.js";
 import { estimatePeakTokens } from "../decisions/estimate_peak_tokens.js";
 import type { EngineControl } from "../model/engine_control.js";
 import type { GatewayRunner } from "../model/gateway_runner.js";
@@ -11,7 +9,6 @@
 import type { PlacementScheduler } from "./placement_scheduler.js";
 import type { RequestContext } from "./request_context.js";
 import type { AbandonedRun } from "./abandoned_run.js";
-import type { ReservedBackup } from "./reserved_backup.js";
 import { RunMigration } from "./run_migration.js";
 import { stopAbandonedRun } from "./stop_abandoned_run.js";
 
@@ -20,8 +17,6 @@
 /** Age of the state that engines report. */
 const REPORT_LAG_MS = 550;
 const REPORT_TIMEOUT_MS = 250;
-/** Shorter runs end within the notice that a leaving runner gives. */
-const MIN_BACKUP_OUTPUT_TOKENS = 128;
 
 /** Dependencies of the migrator. */
 interface MigratorDependencies {
@@ -61,7 +56,6 @@
       requestId: request.requestId,
       control,
       logger,
-      backup: this.#planBackup(context, runner),
       targets: {
         choose: (refusedRunnerIds) =>
           chooseMigrationTarget(
@@ -123,37 +117,6 @@
     if (migrations?.size === 0) this.#migrations.delete(runner.runnerId);
   }
 
-  #planBackup(
-    { service, request }: RequestContext,
-    source: GatewayRunner,
-  ): ReservedBackup | undefined {
-    const { engine } = service;
-    const { requestId, work } = request;
-    if (!engine?.canBackUp || !work) return undefined;
-    if (estimateOutputTokens(work) < MIN_BACKUP_OUTPUT_TOKENS) return undefined;
-    const { scheduler, logger } = this.#dependencies;
-    const runner = chooseBackupRunner(
-      scheduler.listCandidates({ service, excludedRunnerIds: new Set() }),
-      { requestId, needTokens: estimatePeakTokens(work, 0), source, engine },
-    );
-    logger.info("run_backup", {
-      request: requestId,
-      source: source.runnerId,
-      backup: runner?.runnerId,
-      zone: runner?.availabilityZone,
-    });
-    if (!runner) return undefined;
-    const { host, port } = runner;
-    const reservation = scheduler.reserveBackup(runner.runnerId, work);
-    return {
-      runner,
-      cacheRef: { host, port, handle: requestId },
-      release: () => {
-        scheduler.release(reservation);
-      },
-    };
-  }
-
   async #migrateRuns(source: GatewayRunner): Promise<void> {
     const migrations = [...(this.#migrations.get(source.runnerId) ?? [])];
     if (migrations.length === 0) return;
