--- a/packages/gateway/src/__tests__/store_reader_selector.test.ts
+++ b/packages/gateway/src/__tests__/store_reader_selector.test.ts
@@ -2,9 +2,9 @@
 import * as assert from "uvu/assert";
 import { StoreReaderSelector } from "../decisions/store_reader_selector.js";
 
-const FLEET = Array.from({ length: 180 }, (_, n) => ({
+const FLEET = Array.from({ length: 60 }, (_, n) => ({
   instanceId: `10.0.0.${n}:1`,
-  region: n < 120 ? "r1" : "r2",
+  region: n < 40 ? "r1" : "r2",
 }));
 
 function createSelectors(fleet: typeof FLEET): readonly StoreReaderSelector[] {
@@ -20,7 +20,7 @@
 
 test("a few instances of each region read the store and the others ask them", () => {
   const selectors = createSelectors(FLEET);
-  // Three of the 120 instances in r1 and two of the 60 in r2.
+  // Three of the 40 instances in r1 and two of the 20 in r2.
   assert.is(countReaders(selectors), 5);
   const readers = new Map(
     FLEET.filter((_, n) => selectors[n]?.pick() === undefined).map((reader) => [
--- a/packages/gateway/src/decisions/store_reader_selector.ts
+++ b/packages/gateway/src/decisions/store_reader_selector.ts
@@ -1,10 +1,7 @@
 import { monotonicMs, RendezvousOrder } from "@jujubeladder/utils";
 
-/**
- * Each region has one store reader per this many instances, which it answers
- * in a few hundredths of a core. Each reader makes its own calls to the store.
- */
-const INSTANCES_PER_READER = 48;
+/** Each region has one store reader per this many instances. */
+const INSTANCES_PER_READER = 16;
 /** How long a failed reader is not chosen again. */
 const FAILURE_COOLDOWN_MS = 3_000;
 
--- a/packages/gateway/src/views/sync_runners.ts
+++ b/packages/gateway/src/views/sync_runners.ts
@@ -16,12 +16,6 @@
  */
 const FIRST_WATCH_WAIT_MS = 1;
 const CALL_TIMEOUT_MS = 1_000;
-/**
- * Pause after a change before the next watch, so that one call collects the
- * changes of a release or of many leaving runners. Short compared to the
- * notice that a leaving runner gives.
- */
-const CHANGE_PAUSE_MS = 80;
 /** A failed watch is resumed; after this many failures the list is reread. */
 const MAX_WATCH_FAILURES = 2;
 
@@ -154,7 +148,6 @@
   const changes = value.type === "changed" ? value.value : [];
   for (const change of changes) applyChange(directory, change);
   watchCache.applyChanges(changes, { asOf: value.asOf, readAt });
-  if (changes.length > 0) await sleep(CHANGE_PAUSE_MS, signal);
   return value.asOf;
 }
 
