--- a/packages/gateway/src/decisions/failure_blame.ts
+++ b/packages/gateway/src/decisions/failure_blame.ts
@@ -1,7 +1,7 @@
 /**
  * Decides which runners the error answers of one request count against. If two
- * runners fail the same request, the cause is the request and not its runners:
- * counting it against them would drive load away from healthy runners.
+ * runners fail the same request, the cause is taken to be the request: counting
+ * it against them would drive load away from healthy runners.
  */
 export class FailureBlame {
   readonly #failedRunnerIds: string[] = [];
