Log requests that a stopping instance takes and those it cuts

late_request: decision, time to the exit, time to the request's deadline, kind and age of the connection. request_cut: one line for each request that is not finished when the instance closes. No decision is changed.

--- a/packages/gateway/src/server/caller_server.ts
+++ b/packages/gateway/src/server/caller_server.ts
@@ -18,8 +18,12 @@
 import type { FinalOutcome } from "../relay/final_outcome.js";
 import type { RequestRelay } from "../relay/request_relay.js";
 import type { ActiveConfig } from "../views/active_config.js";
+import type { ActiveRequest } from "./active_request.js";
 import { admitRequest } from "./admit_request.js";
+import type { CallerConnection } from "./caller_connection.js";
 import { HttpCallerResponse } from "./http_caller_response.js";
+import { logCutRequest } from "./log_cut_request.js";
+import { logLateRequest } from "./log_late_request.js";
 import { readBody } from "./read_body.js";
 
 /** Limit on request headers, above the limits that operators set. */
@@ -60,7 +64,8 @@
 export class CallerServer {
   readonly #dependencies: CallerServerDependencies;
   readonly #server: Server;
-  #activeCount = 0;
+  readonly #active = new Set<ActiveRequest>();
+  readonly #connections = new WeakMap<Socket, CallerConnection>();
   #bufferedBytes = 0;
   #lastRequestAtMs = 0;
 
@@ -72,6 +77,10 @@
         void this.#handle(request, response);
       },
     );
+    this.#server.on("connection", (socket) => {
+      const openedAtMs = monotonicMs();
+      this.#connections.set(socket, { openedAtMs, requestCount: 0 });
+    });
     this.#server.on("clientError", (error, socket) => {
       this.#rejectUnparsable(error, socket as Socket);
     });
@@ -82,7 +91,7 @@
   }
 
   get activeCount(): number {
-    return this.#activeCount;
+    return this.#active.size;
   }
 
   /** Milliseconds since the last request arrived. */
@@ -100,6 +109,8 @@
 
   /** Closes all connections, including those with requests in progress. */
   close(): void {
+    const { logger } = this.#dependencies;
+    for (const active of this.#active) logCutRequest(logger, active);
     this.#server.close();
     this.#server.closeAllConnections();
   }
@@ -125,7 +136,10 @@
       serverResponse,
       () => this.#dependencies.timeToExitMs() !== undefined,
     );
-    this.#activeCount += 1;
+    const active: ActiveRequest = { receivedAtMs, response };
+    this.#active.add(active);
+    const connection = this.#connections.get(incoming.socket);
+    if (connection) connection.requestCount += 1;
     metrics.count("requests");
     let bufferedBytes = 0;
     try {
@@ -143,9 +157,9 @@
       }
       bufferedBytes = read.body.length;
       this.#bufferedBytes += bufferedBytes;
-      await this.#serve(incoming, { response, body: read.body, receivedAtMs });
+      await this.#serve(incoming, { active, body: read.body });
     } finally {
-      this.#activeCount -= 1;
+      this.#active.delete(active);
       this.#bufferedBytes -= bufferedBytes;
       metrics.record("answer_ms", monotonicMs() - receivedAtMs);
     }
@@ -153,13 +167,11 @@
 
   async #serve(
     incoming: IncomingMessage,
-    received: {
-      readonly response: CallerResponse;
-      readonly body: Buffer;
-      readonly receivedAtMs: number;
-    },
+    { active, body }: { readonly active: ActiveRequest; readonly body: Buffer },
   ): Promise<void> {
-    const { codec, relay } = this.#dependencies;
+    const { codec, relay, logger, timeToExitMs } = this.#dependencies;
+    const { response, receivedAtMs } = active;
+    const received = { response, body, receivedAtMs };
     const decoded = codec.decodeRequest({
       method: incoming.method ?? "",
       target: incoming.url ?? "",
@@ -167,11 +179,16 @@
     });
     if (!decoded.ok) {
       const refusal = { type: "malformed", reason: decoded.error } as const;
-      this.#refuse(received.response, refusal);
+      this.#refuse(response, refusal);
       return;
     }
     const request = decoded.value;
     const admitted = admitRequest(request, received, this.#dependencies);
+    const exitInMs = timeToExitMs();
+    if (exitInMs !== undefined) {
+      const connection = this.#connections.get(incoming.socket);
+      logLateRequest(logger, request, { admitted, exitInMs, connection });
+    }
     if (!admitted.ok) {
       this.#finish(request, received, {
         type: "refused",
@@ -179,6 +196,7 @@
       });
       return;
     }
+    active.context = admitted.value;
     const outcome = await relay.serve(admitted.value);
     this.#finish(request, received, outcome);
   }
