Start only requests that end before a stopping instance exits

What callers saw: a request sent up to 4 s after SIGTERM was taken, passed on and cut at the end of the grace, with no answer or in mid-stream.

Cause: an upper bound was needed and a mean was used. A stopping instance admitted a request if 600 ms and 11 ms for each token that its caller expected fitted into the time to the exit (800 ms for plain requests). All late requests on connections opened before SIGTERM: callers keep them, which is their right.

Change: only the deadline bounds what a runner may take. A request starts, and starts again, only if its deadline ends before the exit: at admission, when a waiting request gets its place, and for repeats. What waits when the stop begins is refused at once. A stream whose caller already receives it goes on. The old unit test held the estimate to be right, so it is replaced by one on the bound.

--- a/packages/gateway/src/__tests__/routes.test.ts
+++ b/packages/gateway/src/__tests__/routes.test.ts
@@ -2,7 +2,7 @@
 import * as assert from "uvu/assert";
 import { estimateRetryAfterMs } from "../decisions/estimate_retry_after_ms.js";
 import { findRoute } from "../decisions/find_route.js";
-import { canCompleteBeforeExit } from "../decisions/can_complete_before_exit.js";
+import { endsBeforeExit } from "../decisions/ends_before_exit.js";
 import { indexRoutes } from "../decisions/index_routes.js";
 import { pickService } from "../decisions/pick_service.js";
 import type { Route } from "../model/route.js";
@@ -65,18 +65,13 @@
   assert.ok(heavy >= 1_500 && heavy <= 1_600, String(heavy));
 });
 
-test("a stopping instance accepts only what it can complete", () => {
-  const work = {
-    promptTokens: 3_000,
-    maxOutputTokens: 2_000,
-    expectedOutputTokens: 900,
-    prefixParts: [],
-  };
-  assert.not(canCompleteBeforeExit(work, 7_000));
-  assert.ok(
-    canCompleteBeforeExit({ ...work, expectedOutputTokens: 12 }, 7_000),
-  );
-  assert.ok(canCompleteBeforeExit(undefined, 2_000));
+test("a stopping instance accepts only what ends before it exits", () => {
+  const nowMs = 50_000;
+  const exitAtMs = nowMs + 7_000;
+  assert.not(endsBeforeExit(nowMs + 39_000, exitAtMs));
+  assert.not(endsBeforeExit(nowMs + 7_000, exitAtMs));
+  assert.ok(endsBeforeExit(nowMs + 6_000, exitAtMs));
+  assert.ok(endsBeforeExit(nowMs + 39_000, undefined));
 });
 
 test.run();
--- a/packages/gateway/src/relay/placement_scheduler.ts
+++ b/packages/gateway/src/relay/placement_scheduler.ts
@@ -33,6 +33,8 @@
   readonly queuedAtMs: number;
   readonly costTokens: number;
   readonly requirements: PlacementRequirements;
+  /** When it stops waiting. */
+  readonly waitEndsAtMs: number;
   readonly deadlineAtMs: number;
   readonly settle: (choice: PlacementChoice) => void;
 }
@@ -113,7 +115,12 @@
   /** Chooses a runner; waits up to `maxWaitMs` if none has capacity. */
   async chooseOrWait(
     requirements: PlacementRequirements,
-    options: { readonly maxWaitMs: number; readonly signal: AbortSignal },
+    options: {
+      readonly maxWaitMs: number;
+      /** The request's deadline, on the monotonic clock. */
+      readonly deadlineAtMs: number;
+      readonly signal: AbortSignal;
+    },
   ): Promise<PlacementChoice> {
     const choice = this.chooseNow(requirements);
     // Later arrivals do not overtake queued requests, unless urgent.
@@ -136,7 +143,8 @@
         queuedAtMs: nowMs,
         costTokens: requirements.work?.promptTokens ?? 1,
         requirements,
-        deadlineAtMs: nowMs + options.maxWaitMs,
+        waitEndsAtMs: nowMs + options.maxWaitMs,
+        deadlineAtMs: options.deadlineAtMs,
         settle: (settled) => {
           signal.removeEventListener("abort", onAbort);
           resolve(settled);
@@ -166,11 +174,19 @@
       });
   }
 
+  /** Settles the queued requests whose deadline matches, without a runner. */
+  dismissQueued(isDismissed: (deadlineAtMs: number) => boolean): void {
+    const dismissed = this.#queue.removeWhere((item) =>
+      isDismissed(item.deadlineAtMs),
+    );
+    for (const item of dismissed) item.settle({ type: "no_runner" });
+  }
+
   /** Places queued requests that now fit and settles expired ones. */
   dispatchQueued(): void {
     const nowMs = monotonicMs();
     const expired = this.#queue.removeWhere(
-      (item) => item.deadlineAtMs <= nowMs,
+      (item) => item.waitEndsAtMs <= nowMs,
     );
     for (const item of expired) item.settle(this.chooseNow(item.requirements));
     // Assigns at most one request to each runner per pass, because a request
--- a/packages/gateway/src/relay/request_relay.ts
+++ b/packages/gateway/src/relay/request_relay.ts
@@ -2,10 +2,12 @@
 import type { Logger } from "@jujubeladder/logger";
 import type { Metrics } from "@jujubeladder/metrics";
 import { monotonicMs } from "@jujubeladder/utils";
+import { endsBeforeExit } from "../decisions/ends_before_exit.js";
 import { estimateRetryAfterMs } from "../decisions/estimate_retry_after_ms.js";
 import { FailureBlame } from "../decisions/failure_blame.js";
 import type { OutlierScores } from "../decisions/outlier_scores.js";
 import { RateMeter } from "../decisions/rate_meter.js";
+import { refuseWhileStopping } from "../decisions/refuse_while_stopping.js";
 import type { FleetRetryBudget } from "../decisions/fleet_retry_budget.js";
 import type { GatewayCodec } from "../model/gateway_codec.js";
 import type { GatewayRunner } from "../model/gateway_runner.js";
@@ -57,6 +59,11 @@
   readonly retryBudget: FleetRetryBudget;
   readonly quarantine: Quarantine;
   readonly checkForCrash: (runner: GatewayRunner, fingerprint: string) => void;
+  /**
+   * When this instance exits, on the monotonic clock; undefined unless it is
+   * stopping.
+   */
+  readonly exitAtMs: () => number | undefined;
   readonly metrics: Metrics;
   readonly logger: Logger;
 }
@@ -107,6 +114,14 @@
     return outcome;
   }
 
+  /** Gives up waiting requests that would outlast a stopping instance. */
+  dismissWaiting(): void {
+    const exitAtMs = this.#dependencies.exitAtMs();
+    this.#dependencies.scheduler.dismissQueued(
+      (deadlineAtMs) => !endsBeforeExit(deadlineAtMs, exitAtMs),
+    );
+  }
+
   async #runAttempts(
     context: RequestContext,
     session: StreamSession | undefined,
@@ -133,12 +148,21 @@
     }
   }
 
+  // A stream that its caller is receiving goes on for as long as it can.
+  #mayStartAttempt({ deadlineAtMs, response }: RequestContext): boolean {
+    return (
+      response.isHeadSent ||
+      endsBeforeExit(deadlineAtMs, this.#dependencies.exitAtMs())
+    );
+  }
+
   async #findRunner(
     context: RequestContext,
     progress: RelayProgress,
   ): Promise<GatewayRunner | undefined> {
     const { continueAt } = progress;
     if (continueAt) return continueAt.runner;
+    if (!this.#mayStartAttempt(context)) return undefined;
     const { route, service, request, response } = context;
     const { scheduler, retryBudget } = this.#dependencies;
     if (progress.mayHaveExecuted && !mayRetry(route.retryPolicy))
@@ -163,9 +187,12 @@
       },
       {
         maxWaitMs: Math.min(targetMs, remainingMs(context)),
+        deadlineAtMs: context.deadlineAtMs,
         signal: response.disconnectSignal,
       },
     );
+    // A planned stop may have begun during the wait.
+    if (!this.#mayStartAttempt(context)) return undefined;
     if (choice.type === "placed") {
       const load = scheduler.getLoad(choice.runner.runnerId);
       this.#dependencies.logger.info("placement", {
@@ -395,6 +422,8 @@
     }
     if (progress.lastFailure)
       return this.#deliver(context, progress.lastFailure);
+    if (!progress.mayHaveExecuted && !this.#mayStartAttempt(context))
+      return refuse(refuseWhileStopping());
     if (!progress.mayHaveExecuted) {
       const retryAfterMs = estimateRetryAfterMs({
         queuedCount: this.#dependencies.scheduler.queuedCount,
--- a/packages/gateway/src/server/admit_request.ts
+++ b/packages/gateway/src/server/admit_request.ts
@@ -2,8 +2,9 @@
 import type { Result } from "@jujubeladder/types";
 import { computeFingerprint } from "@jujubeladder/utils";
 import { findRoute } from "../decisions/find_route.js";
-import { canCompleteBeforeExit } from "../decisions/can_complete_before_exit.js";
+import { endsBeforeExit } from "../decisions/ends_before_exit.js";
 import { pickService } from "../decisions/pick_service.js";
+import { refuseWhileStopping } from "../decisions/refuse_while_stopping.js";
 import type { CallerRequest } from "../model/caller_request.js";
 import type { Refusal } from "../model/refusal.js";
 import type { CallerResponse } from "../relay/caller_response.js";
@@ -26,8 +27,11 @@
    * than this; undefined sets no limit.
    */
   readonly maxKeyConfigAgeMs: number | undefined;
-  /** Time until this instance exits; undefined unless it is stopping. */
-  readonly timeToExitMs: () => number | undefined;
+  /**
+   * When this instance exits, on the monotonic clock; undefined unless it is
+   * stopping.
+   */
+  readonly exitAtMs: () => number | undefined;
 }
 
 /**
@@ -43,7 +47,7 @@
   },
   dependencies: AdmissionDependencies,
 ): Result<RequestContext, Refusal> {
-  const { activeConfig, quarantine, maxKeyConfigAgeMs, timeToExitMs } =
+  const { activeConfig, quarantine, maxKeyConfigAgeMs, exitAtMs } =
     dependencies;
   if (!activeConfig.config) {
     return notRun("no configuration yet", NO_CONFIG_RETRY_MS);
@@ -65,12 +69,11 @@
     pickService(route, request.requestId),
   );
   if (!service) return notRun("no such service", NO_CONFIG_RETRY_MS);
-  const remainingMs = timeToExitMs();
-  if (
-    remainingMs !== undefined &&
-    !canCompleteBeforeExit(request.work, remainingMs)
-  ) {
-    return notRun("this instance stops", OTHER_INSTANCE_RETRY_MS);
+  const callerTimeoutMs = request.maxWaitMs ?? Number.POSITIVE_INFINITY;
+  const deadlineAtMs =
+    received.receivedAtMs + Math.min(route.timeoutMs, callerTimeoutMs);
+  if (!endsBeforeExit(deadlineAtMs, exitAtMs())) {
+    return { ok: false, error: refuseWhileStopping() };
   }
   const fingerprintRequest = () =>
     computeFingerprint(
@@ -83,7 +86,6 @@
   ) {
     return notRun("it has crashed several runners", QUARANTINED_RETRY_MS);
   }
-  const callerTimeoutMs = request.maxWaitMs ?? Number.POSITIVE_INFINITY;
   return {
     ok: true,
     value: {
@@ -95,8 +97,7 @@
       computeFingerprint: fingerprintRequest,
       priority: team?.priority ?? route.priority,
       configVersion: activeConfig.version,
-      deadlineAtMs:
-        received.receivedAtMs + Math.min(route.timeoutMs, callerTimeoutMs),
+      deadlineAtMs,
     },
   };
 }
--- a/packages/gateway/src/server/caller_server.ts
+++ b/packages/gateway/src/server/caller_server.ts
@@ -54,8 +54,11 @@
    * than this; undefined sets no limit.
    */
   readonly maxKeyConfigAgeMs: number | undefined;
-  /** Time until this instance exits; undefined unless it is stopping. */
-  readonly timeToExitMs: () => number | undefined;
+  /**
+   * When this instance exits, on the monotonic clock; undefined unless it is
+   * stopping.
+   */
+  readonly exitAtMs: () => number | undefined;
   readonly metrics: Metrics;
   readonly logger: Logger;
 }
@@ -134,7 +137,7 @@
     const { metrics } = this.#dependencies;
     const response = new HttpCallerResponse(
       serverResponse,
-      () => this.#dependencies.timeToExitMs() !== undefined,
+      () => this.#dependencies.exitAtMs() !== undefined,
     );
     const active: ActiveRequest = { receivedAtMs, response };
     this.#active.add(active);
@@ -169,7 +172,7 @@
     incoming: IncomingMessage,
     { active, body }: { readonly active: ActiveRequest; readonly body: Buffer },
   ): Promise<void> {
-    const { codec, relay, logger, timeToExitMs } = this.#dependencies;
+    const { codec, relay, logger } = this.#dependencies;
     const { response, receivedAtMs } = active;
     const received = { response, body, receivedAtMs };
     const decoded = codec.decodeRequest({
@@ -184,10 +187,10 @@
     }
     const request = decoded.value;
     const admitted = admitRequest(request, received, this.#dependencies);
-    const exitInMs = timeToExitMs();
-    if (exitInMs !== undefined) {
+    const exitAtMs = this.#dependencies.exitAtMs();
+    if (exitAtMs !== undefined) {
       const connection = this.#connections.get(incoming.socket);
-      logLateRequest(logger, request, { admitted, exitInMs, connection });
+      logLateRequest(logger, request, { admitted, exitAtMs, connection });
     }
     if (!admitted.ok) {
       this.#finish(request, received, {
--- a/packages/gateway/src/server/gateway_instance.ts
+++ b/packages/gateway/src/server/gateway_instance.ts
@@ -69,6 +69,7 @@
   readonly #membership: Membership;
   readonly #peers: PeerDirectory;
   readonly #peerDatagrams: PeerDatagrams;
+  readonly #relay: RequestRelay;
   readonly #callerServer: CallerServer;
   readonly #leavePoller: LeavePoller;
   readonly #readerProvider: PeerStoreReaderProvider;
@@ -173,6 +174,7 @@
         this.#configHealth.isHealthy && this.#runnersHealth.isHealthy,
       logger,
     });
+    const exitAtMs = () => this.#stopAtMs;
     const relay = new RequestRelay({
       codec,
       pool: this.#pool,
@@ -187,16 +189,18 @@
       checkForCrash: (runner, fingerprint) => {
         crashDetector.checkForCrash(runner, fingerprint);
       },
+      exitAtMs,
       metrics: this.#metrics,
       logger,
     });
+    this.#relay = relay;
     this.#callerServer = new CallerServer({
       codec,
       activeConfig: this.#activeConfig,
       relay,
       quarantine,
       maxKeyConfigAgeMs: settings.maxKeyConfigAgeMs,
-      timeToExitMs: () => this.#timeToExitMs(),
+      exitAtMs,
       metrics: this.#metrics,
       logger,
     });
@@ -306,6 +310,7 @@
     const { stopGraceMs } = this.#settings;
     this.#stopAtMs = startedAtMs + stopGraceMs - STOP_MARGIN_MS;
     this.#logger.info("stopping", { active: this.#callerServer.activeCount });
+    this.#relay.dismissWaiting();
     void this.#membership.leave();
     while ((this.#timeToExitMs() ?? 0) > 0) {
       const isAccepting = monotonicMs() - startedAtMs < STOP_ACCEPTING_MS;
--- a/packages/gateway/src/server/log_late_request.ts
+++ b/packages/gateway/src/server/log_late_request.ts
@@ -12,16 +12,17 @@
   request: CallerRequest,
   late: {
     readonly admitted: Result<RequestContext, Refusal>;
-    readonly exitInMs: number;
+    /** On the monotonic clock. */
+    readonly exitAtMs: number;
     readonly connection: CallerConnection | undefined;
   },
 ): void {
-  const { admitted, exitInMs, connection } = late;
+  const { admitted, exitAtMs, connection } = late;
   const nowMs = monotonicMs();
   logger.info("late_request", {
     request: request.requestId,
     is_admitted: admitted.ok,
-    exit_in_ms: exitInMs,
+    exit_in_ms: exitAtMs - nowMs,
     deadline_in_ms: admitted.ok
       ? admitted.value.deadlineAtMs - nowMs
       : undefined,
