Let a second SIGTERM join the planned stop in progress

What callers would see: answers cut at once. stop() returned at once while a stop was in progress, and the process exits when the call has returned: a second SIGTERM (an impatient operator, a supervisor that repeats it) ended the drain.

Later calls now wait for the first one. Test 'a second signal does not end a planned stop early' failed before and passes.

--- a/packages/gateway/src/server/gateway_instance.ts
+++ b/packages/gateway/src/server/gateway_instance.ts
@@ -86,6 +86,7 @@
   readonly #droppedLogLines: () => number;
   readonly #stopping = new AbortController();
   #stopAtMs: number | undefined;
+  #stopped: Promise<void> | undefined;
   readonly #servers: (Server | Http2Server)[] = [];
 
   constructor(
@@ -302,10 +303,15 @@
 
   /**
    * Fails the readiness check, drains requests in progress, and closes;
-   * resolves before the platform would kill the process.
+   * resolves before the platform would kill the process. Later calls join the
+   * first one.
    */
   async stop(): Promise<void> {
-    if (this.#stopAtMs !== undefined) return;
+    this.#stopped ??= this.#stop();
+    await this.#stopped;
+  }
+
+  async #stop(): Promise<void> {
     const startedAtMs = monotonicMs();
     const { stopGraceMs } = this.#settings;
     this.#stopAtMs = startedAtMs + stopGraceMs - STOP_MARGIN_MS;
