Tell requests without an answer what became of them at the exit

What callers saw: the connection closed with no answer, at the end of a planned stop, for a request that waited or whose runner had not answered yet.

Cause: close() destroyed the callers' connections whatever was in progress. Now a stopping instance first gives up what it cannot finish: what no runner has got is refused as not run, what may have run is told so, and only a stream whose head has been sent is cut, with a request_cut line each. It then waits up to 200 ms, within the margin before the forced kill, until the answers are sent.

Test 'a request without an answer at the exit is told that it may have run' failed before and passes.

--- a/packages/gateway/src/relay/attempt_outcome.ts
+++ b/packages/gateway/src/relay/attempt_outcome.ts
@@ -20,4 +20,6 @@
   | { readonly type: "slow" }
   /** The request's deadline has passed. */
   | { readonly type: "timed_out" }
-  | { readonly type: "caller_left" };
+  | { readonly type: "caller_left" }
+  /** This instance exits before the response is complete. */
+  | { readonly type: "given_up" };
--- a/packages/gateway/src/relay/caller_response.ts
+++ b/packages/gateway/src/relay/caller_response.ts
@@ -2,6 +2,8 @@
 export interface CallerResponse {
   /** Aborted if the caller disconnects before the response is complete. */
   readonly disconnectSignal: AbortSignal;
+  /** Aborted then, or when this instance gives the request up. */
+  readonly cancelSignal: AbortSignal;
   /** The head has been sent; only body data may follow. */
   readonly isHeadSent: boolean;
   /**
--- a/packages/gateway/src/relay/request_relay.ts
+++ b/packages/gateway/src/relay/request_relay.ts
@@ -128,8 +128,8 @@
     progress: RelayProgress,
   ): Promise<FinalOutcome> {
     for (;;) {
-      if (context.response.disconnectSignal.aborted)
-        return { type: "caller_left" };
+      if (context.response.cancelSignal.aborted)
+        return this.#giveUp(context, progress);
       if (remainingMs(context) <= 0) return this.#giveUp(context, progress);
       const runner = await this.#findRunner(context, progress);
       if (!runner) return this.#giveUp(context, progress);
@@ -188,7 +188,7 @@
       {
         maxWaitMs: Math.min(targetMs, remainingMs(context)),
         deadlineAtMs: context.deadlineAtMs,
-        signal: response.disconnectSignal,
+        signal: response.cancelSignal,
       },
     );
     // A planned stop may have begun during the wait.
@@ -242,7 +242,7 @@
       const opened = await pool.acquire(runner, {
         mustBeNew: !mayRetry(route.retryPolicy) || continueFrom !== undefined,
         timeoutMs: Math.min(CONNECT_TIMEOUT_MS, remainingMs(context)),
-        signal: context.response.disconnectSignal,
+        signal: context.response.cancelSignal,
       });
       if (!opened.ok) return { type: "not_sent", reason: opened.error };
       const connection = opened.value;
@@ -281,12 +281,17 @@
           lastEventId: session?.lastEventId,
         }),
         body: context.body,
-        signal: context.response.disconnectSignal,
+        signal: context.response.cancelSignal,
         remainingMs: leftMs,
         firstByteTimeoutMs: this.#firstByteTimeoutMs(context, progress),
         receiver: session,
       });
-      const outcome = rejectAmbiguousEnd(received, migration);
+      const isGivenUp =
+        received.type === "caller_left" &&
+        !context.response.disconnectSignal.aborted;
+      const outcome = isGivenUp
+        ? ({ type: "given_up" } as const)
+        : rejectAmbiguousEnd(received, migration);
       progress.lastConnection = ended;
       if (head?.isClosing && head.execution !== "wrong_runner") {
         connection.close();
@@ -387,6 +392,11 @@
         return refuse({ type: "timed_out", reason: "the time is up" });
       case "caller_left":
         return { type: "caller_left" };
+      case "given_up":
+        progress.mayHaveExecuted ||=
+          (progress.lastConnection?.sentBytes ?? 0) > 0;
+        progress.lastReason = "this instance stops";
+        return this.#giveUp(context, progress);
     }
   }
 
--- a/packages/gateway/src/server/caller_server.ts
+++ b/packages/gateway/src/server/caller_server.ts
@@ -110,10 +110,20 @@
     await once(this.#server, "listening");
   }
 
+  /**
+   * Gives up the requests in progress: those without a response head are told
+   * what is known of them, the others are cut. Returns how many are cut.
+   */
+  giveUpAll(): number {
+    const { logger } = this.#dependencies;
+    const cut = [...this.#active].filter(({ response }) => response.isHeadSent);
+    for (const active of cut) logCutRequest(logger, active);
+    for (const { response } of this.#active) response.cancel();
+    return cut.length;
+  }
+
   /** Closes all connections, including those with requests in progress. */
   close(): void {
-    const { logger } = this.#dependencies;
-    for (const active of this.#active) logCutRequest(logger, active);
     this.#server.close();
     this.#server.closeAllConnections();
   }
--- a/packages/gateway/src/server/gateway_instance.ts
+++ b/packages/gateway/src/server/gateway_instance.ts
@@ -53,6 +53,8 @@
 const STOP_ACCEPTING_MS = 3_500;
 /** The instance exits this long before the platform's forced kill. */
 const STOP_MARGIN_MS = 400;
+/** Within that, time to send the final responses. */
+const STOP_FLUSH_MS = 200;
 /** A stopping instance exits early only if no request came for this long. */
 const STOP_IDLE_MS = 300;
 const STOP_POLL_INTERVAL_MS = 25;
@@ -326,12 +328,20 @@
       if (!isAccepting && !isBusy) break;
       await sleep(STOP_POLL_INTERVAL_MS);
     }
+    const cut = this.#callerServer.giveUpAll();
+    const flushEndsAtMs = monotonicMs() + STOP_FLUSH_MS;
+    while (
+      this.#callerServer.activeCount > 0 &&
+      monotonicMs() < flushEndsAtMs
+    ) {
+      await sleep(STOP_POLL_INTERVAL_MS);
+    }
+    this.#logger.info("stopped", { cut });
     this.close();
   }
 
   /** Closes at once and aborts requests in progress. */
   close(): void {
-    this.#logger.info("stopped", { cut: this.#callerServer.activeCount });
     this.#stopping.abort();
     this.#callerServer.close();
     this.#pool.closeAll();
--- a/packages/gateway/src/server/http_caller_response.ts
+++ b/packages/gateway/src/server/http_caller_response.ts
@@ -5,6 +5,7 @@
 export class HttpCallerResponse implements CallerResponse {
   readonly #response: ServerResponse;
   readonly #disconnected = new AbortController();
+  readonly #cancelled = new AbortController();
   readonly #isClosing: () => boolean;
   #endsWithConnection = false;
 
@@ -13,10 +14,10 @@
     this.#response = response;
     this.#isClosing = isClosing;
     response.on("close", () => {
-      if (!response.writableFinished) this.#disconnected.abort();
+      if (!response.writableFinished) this.#disconnect();
     });
     response.on("error", () => {
-      this.#disconnected.abort();
+      this.#disconnect();
     });
   }
 
@@ -24,6 +25,10 @@
     return this.#disconnected.signal;
   }
 
+  get cancelSignal(): AbortSignal {
+    return this.#cancelled.signal;
+  }
+
   get isHeadSent(): boolean {
     return this.#response.headersSent;
   }
@@ -54,9 +59,19 @@
     else this.#response.end();
   }
 
+  /** Gives up the request; its final outcome is still to be sent. */
+  cancel(): void {
+    this.#cancelled.abort();
+  }
+
   abort(): void {
     // Without a content length, an orderly close would mark a complete body.
     if (this.#endsWithConnection) this.#response.socket?.resetAndDestroy();
     this.#response.destroy();
   }
+
+  #disconnect(): void {
+    this.#disconnected.abort();
+    this.#cancelled.abort();
+  }
 }
--- a/packages/gateway/src/server/log_cut_request.ts
+++ b/packages/gateway/src/server/log_cut_request.ts
@@ -2,10 +2,10 @@
 import { monotonicMs } from "@jujubeladder/utils";
 import type { ActiveRequest } from "./active_request.js";
 
-/** Logs a request whose connection is closed before its response is complete. */
+/** Logs a request whose response a stopping instance cuts. */
 export function logCutRequest(
   logger: Logger,
-  { receivedAtMs, response, context }: ActiveRequest,
+  { receivedAtMs, context }: ActiveRequest,
 ): void {
   const nowMs = monotonicMs();
   logger.warn("request_cut", {
@@ -13,7 +13,6 @@
     route: context?.route.routeId,
     since_ms: nowMs - receivedAtMs,
     deadline_in_ms: context && context.deadlineAtMs - nowMs,
-    is_head_sent: response.isHeadSent,
     expected_output_tokens: context?.request.work?.expectedOutputTokens,
   });
 }
