Count a request as active until its response has been sent

What callers would see: a large answer cut at a planned stop while they still read it. The instance counted a request as finished once it had handed the response to its connection, so that it could exit with megabytes still to be sent.

Test 'an answer that the caller reads slowly is not cut by a planned stop' failed before and passes.

--- a/packages/gateway/src/server/caller_server.ts
+++ b/packages/gateway/src/server/caller_server.ts
@@ -172,9 +172,11 @@
       this.#bufferedBytes += bufferedBytes;
       await this.#serve(incoming, { active, body: read.body });
     } finally {
-      this.#active.delete(active);
       this.#bufferedBytes -= bufferedBytes;
       metrics.record("answer_ms", monotonicMs() - receivedAtMs);
+      // A slow caller may still be receiving the end of the response.
+      await response.closed;
+      this.#active.delete(active);
     }
   }
 
--- a/packages/gateway/src/server/http_caller_response.ts
+++ b/packages/gateway/src/server/http_caller_response.ts
@@ -7,14 +7,19 @@
   readonly #disconnected = new AbortController();
   readonly #cancelled = new AbortController();
   readonly #isClosing: () => boolean;
+  /** Resolves once the response has been sent or its connection is closed. */
+  readonly closed: Promise<void>;
   #endsWithConnection = false;
 
   /** While `isClosing` returns true, responses ask to close the connection. */
   constructor(response: ServerResponse, isClosing: () => boolean) {
     this.#response = response;
     this.#isClosing = isClosing;
-    response.on("close", () => {
-      if (!response.writableFinished) this.#disconnect();
+    this.closed = new Promise((resolve) => {
+      response.on("close", () => {
+        if (!response.writableFinished) this.#disconnect();
+        resolve();
+      });
     });
     response.on("error", () => {
       this.#disconnect();
