Move the planned stop out of the instance's wiring

No change of behaviour: constants, order of steps and log lines are the same. The instance keeps what is its own, the order in which its parts are told.

--- a/packages/gateway/src/server/gateway_instance.ts
+++ b/packages/gateway/src/server/gateway_instance.ts
@@ -10,7 +10,7 @@
 import type { Logger } from "@jujubeladder/logger";
 import { Metrics } from "@jujubeladder/metrics";
 import type { ViewState } from "@jujubeladder/protocol";
-import { monotonicMs, sleep } from "@jujubeladder/utils";
+import { sleep } from "@jujubeladder/utils";
 import { LoadTracker } from "../decisions/load_tracker.js";
 import { OutlierScores } from "../decisions/outlier_scores.js";
 import { StoreReaderSelector } from "../decisions/store_reader_selector.js";
@@ -39,6 +39,7 @@
 import { StoreReadHealth } from "../views/store_read_health.js";
 import { CallerServer } from "./caller_server.js";
 import type { GatewaySettings } from "./gateway_settings.js";
+import { PlannedStop } from "./planned_stop.js";
 import { serveText } from "./serve_text.js";
 
 /** Fleet size assumed until gossip has reported a larger one. */
@@ -46,18 +47,6 @@
 /** A request is quarantined after the loss of this many runner incarnations. */
 const QUARANTINE_THRESHOLD = 3;
 const HOUSEKEEPING_INTERVAL_MS = 500;
-/**
- * A stopping instance accepts requests for at least this long: the load
- * balancer takes it out after two failed readiness checks, one second apart.
- */
-const STOP_ACCEPTING_MS = 3_500;
-/** The instance exits this long before the platform's forced kill. */
-const STOP_MARGIN_MS = 400;
-/** Within that, time to send the final responses. */
-const STOP_FLUSH_MS = 200;
-/** A stopping instance exits early only if no request came for this long. */
-const STOP_IDLE_MS = 300;
-const STOP_POLL_INTERVAL_MS = 25;
 
 /** One gateway instance: wires its components, starts and stops them. */
 export class GatewayInstance {
@@ -87,8 +76,7 @@
   readonly #store: MetadataStore;
   readonly #droppedLogLines: () => number;
   readonly #stopping = new AbortController();
-  #stopAtMs: number | undefined;
-  #stopped: Promise<void> | undefined;
+  readonly #plannedStop: PlannedStop;
   readonly #servers: (Server | Http2Server)[] = [];
 
   constructor(
@@ -104,6 +92,7 @@
     const { logger, codec, control } = dependencies;
     this.#settings = settings;
     this.#logger = logger;
+    this.#plannedStop = new PlannedStop(settings.stopGraceMs, logger);
     this.#store = dependencies.store;
     this.#droppedLogLines = dependencies.droppedLogLines;
     this.#activeConfig = new ActiveConfig(codec, logger);
@@ -177,7 +166,7 @@
         this.#configHealth.isHealthy && this.#runnersHealth.isHealthy,
       logger,
     });
-    const exitAtMs = () => this.#stopAtMs;
+    const exitAtMs = () => this.#plannedStop.exitAtMs;
     const relay = new RequestRelay({
       codec,
       pool: this.#pool,
@@ -214,7 +203,7 @@
     const { maxKeyConfigAgeMs: maxAgeMs = Number.POSITIVE_INFINITY } =
       this.#settings;
     return (
-      this.#stopAtMs === undefined &&
+      this.#plannedStop.exitAtMs === undefined &&
       this.#activeConfig.version > 0 &&
       this.#directory.size > 0 &&
       this.#activeConfig.confirmedAgeMs <= maxAgeMs
@@ -309,34 +298,10 @@
    * first one.
    */
   async stop(): Promise<void> {
-    this.#stopped ??= this.#stop();
-    await this.#stopped;
-  }
-
-  async #stop(): Promise<void> {
-    const startedAtMs = monotonicMs();
-    const { stopGraceMs } = this.#settings;
-    this.#stopAtMs = startedAtMs + stopGraceMs - STOP_MARGIN_MS;
-    this.#logger.info("stopping", { active: this.#callerServer.activeCount });
-    this.#relay.dismissWaiting();
-    void this.#membership.leave();
-    while ((this.#timeToExitMs() ?? 0) > 0) {
-      const isAccepting = monotonicMs() - startedAtMs < STOP_ACCEPTING_MS;
-      const isBusy =
-        this.#callerServer.activeCount > 0 ||
-        this.#callerServer.sinceLastRequestMs < STOP_IDLE_MS;
-      if (!isAccepting && !isBusy) break;
-      await sleep(STOP_POLL_INTERVAL_MS);
-    }
-    const cut = this.#callerServer.giveUpAll();
-    const flushEndsAtMs = monotonicMs() + STOP_FLUSH_MS;
-    while (
-      this.#callerServer.activeCount > 0 &&
-      monotonicMs() < flushEndsAtMs
-    ) {
-      await sleep(STOP_POLL_INTERVAL_MS);
-    }
-    this.#logger.info("stopped", { cut });
+    await this.#plannedStop.drain(this.#callerServer, () => {
+      this.#relay.dismissWaiting();
+      void this.#membership.leave();
+    });
     this.close();
   }
 
@@ -366,12 +331,6 @@
     for (const peer of followers) this.#peerDatagrams.announceView(peer, view);
   }
 
-  #timeToExitMs(): number | undefined {
-    return this.#stopAtMs === undefined
-      ? undefined
-      : this.#stopAtMs - monotonicMs();
-  }
-
   async #runHousekeeping(signal: AbortSignal): Promise<void> {
     let wasReady: boolean | undefined;
     while (!signal.aborted) {
