Return the failure of a connection to an impossible address

An entry in the list of runners names a port above 65535, 0.5 or -1: the socket's constructor throws a RangeError, and the opening of a connection rejected instead of returning its failure. None of its callers expects that.

The test failed before in four of its eight cases, with "Port should be >= 0 and < 65536"; hosts that are none already failed as they should.

--- a/packages/gateway/src/transport/http_connection.ts
+++ b/packages/gateway/src/transport/http_connection.ts
@@ -99,8 +99,14 @@
     endpoint: Endpoint,
     options: { readonly timeoutMs: number; readonly signal?: AbortSignal },
   ): Promise<Result<HttpConnection, string>> {
+    let socket: Socket;
+    try {
+      socket = connectSocket({ ...endpoint, noDelay: true });
+    } catch (error) {
+      // Such as a port out of range.
+      return { ok: false, error: describeError(error) };
+    }
     return await new Promise((resolve) => {
-      const socket = connectSocket({ ...endpoint, noDelay: true });
       socket.setKeepAlive(true, TCP_PROBE_DELAY_MS);
       const finish = (result: Result<HttpConnection, string>) => {
         clearTimeout(timer);
