Check an entry in the list of runners once, where it is decoded

Another writer's entry with port 99999 or 0, host 999.1.1.1, slots of 1e308, -5, 0 or 0.5, born at 1.5 or -1, or cold for 1e308 ms was listed as a runner. Its slots make it the least loaded one, its port makes the opening of a connection throw, and its time of start makes the encoding for peers throw.

checkRunner checks all that later code needs: IPv4 octets, port 1 to 65535, whole slots up to 65535, born a whole number in the safe range, an id that can be sent in a header, names of bounded length, cold for an hour at most. Bytes that are not UTF-8 name no runner either. What is left out has a line, runner_entry_refused, bounded to 20 a minute.

Deep nesting and huge arrays passed: JSON.parse and zod don't recurse into them; 400,000 levels and 1,000,000 items were tried. In odd_entries_in_fleet, three instances answered 503 after such entries, though a sound runner was listed.

--- a/packages/gateway/src/mod.ts
+++ b/packages/gateway/src/mod.ts
@@ -1,6 +1,7 @@
 /** The gateway: its request path, its model and the instance that serves it. */
 export type { AttemptHead } from "./model/attempt_head.js";
 export type { CallerRequest } from "./model/caller_request.js";
+export { checkRunner } from "./model/check_runner.js";
 export type { CopyOutcome } from "./model/copy_outcome.js";
 export type { EngineControl } from "./model/engine_control.js";
 export type { EngineFeatures } from "./model/engine_features.js";
@@ -14,6 +15,7 @@
 export type { GatewayTeam } from "./model/gateway_team.js";
 export type { GenerationWork } from "./model/generation_work.js";
 export { sendAndBuffer } from "./transport/send_and_buffer.js";
+export { RefusedEntryLog } from "./views/refused_entry_log.js";
 export { HttpConnection } from "./transport/http_connection.js";
 export type { MetadataStore } from "./model/metadata_store.js";
 export type { RetryPolicy } from "./model/retry_policy.js";
