Check runners that a peer lists where they are decoded

An older or faulty peer's entry with port 99999 or 0, a host that is no address, slots of 0 or, a time of start beyond the safe range or an id with a line break was taken into the directory and passed on to followers. It is checked like an entry of the store now and left out, with the same line; as a change it removes the runner, as an odd entry in the store does.

--- a/packages/gateway/src/__tests__/store_readers.test.ts
+++ b/packages/gateway/src/__tests__/store_readers.test.ts
@@ -41,7 +41,12 @@
   };
   // Of a peer that is behind, so that calls wait for it.
   const view = create(ViewStateSchema);
-  const reader = new PeerStoreReader("reader", client, async () => view);
+  const reader = new PeerStoreReader(
+    "reader",
+    client,
+    async () => view,
+    () => undefined,
+  );
   return { reader, close };
 }
 
--- a/packages/gateway/src/__tests__/view_poller.test.ts
+++ b/packages/gateway/src/__tests__/view_poller.test.ts
@@ -97,7 +97,12 @@
     },
   };
   return {
-    reader: new PeerStoreReader("peer", client as never, async () => view),
+    reader: new PeerStoreReader(
+      "peer",
+      client as never,
+      async () => view,
+      () => undefined,
+    ),
     calls,
     waitsMs,
   };
--- a/packages/gateway/src/mesh/peer_store_reader.ts
+++ b/packages/gateway/src/mesh/peer_store_reader.ts
@@ -1,7 +1,12 @@
 import { Code, ConnectError, type Client } from "@connectrpc/connect";
-import type { PeerService, ViewState } from "@jujubeladder/protocol";
+import type {
+  PeerService,
+  RunnerEntry,
+  ViewState,
+} from "@jujubeladder/protocol";
 import type { Result } from "@jujubeladder/types";
 import { describeError, setPatientTimeout } from "@jujubeladder/utils";
+import type { RunnerChange } from "../model/runner_change.js";
 import type { RunnerListUpdate } from "../model/runner_list_update.js";
 import type { StoreReader } from "../model/store_reader.js";
 import { decodeRunnerEntry } from "./decode_runner_entry.js";
@@ -18,16 +23,22 @@
   readonly instanceId: string;
   readonly #client: Client<typeof PeerService>;
   readonly #pollView: () => Promise<ViewState | undefined>;
+  readonly #onRefusedEntry: (runnerId: string, reason: string) => void;
 
-  /** `pollView` is the cheaper way to learn that nothing has changed. */
+  /**
+   * `pollView` is the cheaper way to learn that nothing has changed;
+   * `onRefusedEntry` is called for each entry that names no runner to use.
+   */
   constructor(
     instanceId: string,
     client: Client<typeof PeerService>,
     pollView: () => Promise<ViewState | undefined>,
+    onRefusedEntry: (runnerId: string, reason: string) => void,
   ) {
     this.instanceId = instanceId;
     this.#client = client;
     this.#pollView = pollView;
+    this.#onRefusedEntry = onRefusedEntry;
   }
 
   async watchConfig(options: {
@@ -91,7 +102,7 @@
       if (ageMs === undefined || ageMs > MAX_VIEW_AGE_MS)
         return staleView(ageMs);
       const known = { asOf: Number(response.asOf), ageMs };
-      const changes = response.entries.map(decodeRunnerEntry);
+      const changes = response.entries.map((entry) => this.#decode(entry));
       if (!response.isList) {
         return { ok: true, value: { ...known, type: "changes", changes } };
       }
@@ -103,6 +114,15 @@
       return { ok: false, error: describeError(error) };
     }
   }
+
+  // An entry that names no runner to use removes the one that it named before.
+  #decode(entry: RunnerEntry): RunnerChange {
+    const decoded = decodeRunnerEntry(entry);
+    if (decoded.ok) return decoded.value;
+    const { runnerId } = entry;
+    this.#onRefusedEntry(runnerId, decoded.error);
+    return { type: "removed", runnerId };
+  }
 }
 
 // The peer gets no time limit, which it would apply to a response that is ready
--- a/packages/gateway/src/mesh/peer_store_reader_provider.ts
+++ b/packages/gateway/src/mesh/peer_store_reader_provider.ts
@@ -2,6 +2,7 @@
 import type { Logger } from "@jujubeladder/logger";
 import type { StoreReaderSelector } from "../decisions/store_reader_selector.js";
 import type { StoreReader } from "../model/store_reader.js";
+import { RefusedEntryLog } from "../views/refused_entry_log.js";
 import { parseAddress } from "./parse_address.js";
 import { PeerStoreReader } from "./peer_store_reader.js";
 import type { ViewPoller } from "./view_poller.js";
@@ -12,6 +13,7 @@
   readonly #peers: PeerDirectory;
   readonly #poller: ViewPoller;
   readonly #logger: Logger;
+  readonly #refusedEntries: RefusedEntryLog;
   #lastInstanceId: string | undefined;
 
   constructor(dependencies: {
@@ -24,6 +26,7 @@
     this.#peers = dependencies.peers;
     this.#poller = dependencies.poller;
     this.#logger = dependencies.logger;
+    this.#refusedEntries = new RefusedEntryLog(dependencies.logger);
   }
 
   /** Returns undefined if this instance reads the store itself. */
@@ -36,8 +39,13 @@
     if (instanceId === undefined) return undefined;
     const client = this.#peers.find(instanceId);
     if (!client) return undefined;
-    return new PeerStoreReader(instanceId, client, async () =>
-      this.#poller.poll(parseAddress(instanceId)),
+    return new PeerStoreReader(
+      instanceId,
+      client,
+      async () => this.#poller.poll(parseAddress(instanceId)),
+      (runnerId, reason) => {
+        this.#refusedEntries.record(runnerId, reason);
+      },
     );
   }
 
