--- a/packages/gateway/src/__tests__/odd_peers.test.ts
+++ b/packages/gateway/src/__tests__/odd_peers.test.ts
@@ -30,6 +30,8 @@
   { serviceId: "s".repeat(100_000) },
 ];
 
+const ODD_REVISION = 2n ** 63n;
+
 /** Watches the runners through a peer that gives the response. */
 async function watchThroughPeer(
   response: MessageInitShape<typeof WatchRunnersResponseSchema>,
@@ -90,4 +92,19 @@
   });
 }
 
+test("a peer's revision beyond the safe range fails the read", async () => {
+  // The store would be asked for changes after it, and have none for ever.
+  const { result } = await watchThroughPeer({
+    asOf: ODD_REVISION,
+    isList: true,
+    entries: [],
+  });
+  assert.not(result.ok);
+  const unchanged = await watchThroughPeer(
+    { asOf: 1n },
+    { runnersAsOf: ODD_REVISION, runnersChangedAsOf: 1n, runnersAgeMs: 0 },
+  );
+  assert.not(unchanged.result.ok);
+});
+
 test.run();
--- a/packages/gateway/src/mesh/peer_store_reader.ts
+++ b/packages/gateway/src/mesh/peer_store_reader.ts
@@ -18,6 +18,12 @@
 /** Older views are rejected, as a leaving runner gives only 2 s of notice. */
 const MAX_VIEW_AGE_MS = 1_800;
 
+/** The store has no changes after such a revision, so that none would be seen. */
+const ODD_REVISION = {
+  ok: false,
+  error: "the peer's revision is out of range",
+} as const;
+
 /** Watches the configuration and the runners through a peer. */
 export class PeerStoreReader implements StoreReader {
   readonly instanceId: string;
@@ -91,7 +97,9 @@
       const { runnersAgeMs: ageMs } = view;
       if (ageMs === undefined || ageMs > MAX_VIEW_AGE_MS)
         return staleView(ageMs);
-      const known = { asOf: Number(view.runnersAsOf), ageMs };
+      const asOfView = Number(view.runnersAsOf);
+      if (!Number.isSafeInteger(asOfView)) return ODD_REVISION;
+      const known = { asOf: asOfView, ageMs };
       return { ok: true, value: { ...known, type: "changes", changes: [] } };
     }
     try {
@@ -102,6 +110,7 @@
       if (ageMs === undefined || ageMs > MAX_VIEW_AGE_MS)
         return staleView(ageMs);
       const known = { asOf: Number(response.asOf), ageMs };
+      if (!Number.isSafeInteger(known.asOf)) return ODD_REVISION;
       const changes = response.entries.map((entry) => this.#decode(entry));
       if (!response.isList) {
         return { ok: true, value: { ...known, type: "changes", changes } };
