Take no peer at an address that is none

A member in a digest, or a digest's sender, at "nowhere", "127.0.0.1:99999" or "a b:80" became a peer and went on to others in digests. Gossip with it builds a URL outside of any handler: "TypeError: Invalid URL" as an unhandled rejection ends each process that draws it, again after each start, as the others still tell of it. Seeds were read the same way.

--- a/packages/gateway/src/__tests__/refused_entry_log.test.ts
+++ b/packages/gateway/src/__tests__/refused_entry_log.test.ts
@@ -5,11 +5,10 @@
 
 function createLog() {
   const lines: { readonly event: string; readonly fields: LogFields }[] = [];
-  const log = new RefusedEntryLog({
-    warn: (event, fields = {}) => {
-      lines.push({ event, fields });
-    },
-  });
+  const warn = (event: string, fields: LogFields = {}) => {
+    lines.push({ event, fields });
+  };
+  const log = new RefusedEntryLog({ warn }, "runner_entry_refused");
   return { log, lines };
 }
 
--- a/packages/gateway/src/mesh/create_gossip_extension.ts
+++ b/packages/gateway/src/mesh/create_gossip_extension.ts
@@ -1,7 +1,9 @@
 import type { GossipExtension } from "@jujubeladder/coordination";
+import type { Logger } from "@jujubeladder/logger";
 import type { LoadTracker } from "../decisions/load_tracker.js";
 import type { ActiveConfig } from "../views/active_config.js";
 import type { RunnerDirectory } from "../views/runner_directory.js";
+import { RefusedEntryLog } from "../views/refused_entry_log.js";
 import type { PeerRoster } from "./peer_roster.js";
 
 /** An older confirmation is of no use to peers and is not sent. */
@@ -16,8 +18,15 @@
   readonly loadTracker: LoadTracker;
   readonly activeConfig: ActiveConfig;
   readonly directory: RunnerDirectory;
+  readonly logger: Logger;
 }): GossipExtension {
   const { roster, loadTracker, activeConfig, directory } = dependencies;
+  const refusedPeers = new RefusedEntryLog(dependencies.logger, "peer_refused");
+  const record = (peer: Parameters<PeerRoster["record"]>[0]): boolean => {
+    const isPeer = roster.record(peer);
+    if (!isPeer) refusedPeers.record(peer.address, "the address is none");
+    return isPeer;
+  };
   return {
     describe: () => {
       const ageMs = activeConfig.confirmedAgeMs;
@@ -44,10 +53,10 @@
       const { sender, region, availabilityZone } = digest;
       if (!sender) return;
       const address = sender.instanceId;
-      roster.record({ address, region, availabilityZone, ageMs: 0 });
+      if (!record({ address, region, availabilityZone, ageMs: 0 })) return;
       roster.recordKnownInstances(digest.knownInstances);
       for (const peer of digest.members) {
-        roster.record({ ...peer, ageMs: peer.heardAgeMs });
+        record({ ...peer, ageMs: peer.heardAgeMs });
       }
       loadTracker.recordPeer(address, {
         region,
--- a/packages/gateway/src/mesh/peer_roster.ts
+++ b/packages/gateway/src/mesh/peer_roster.ts
@@ -40,9 +40,10 @@
   constructor(ownAddress: string, seeds: readonly string[]) {
     this.#ownAddress = ownAddress;
     this.#seeds = new Map(
-      seeds
-        .filter((seed) => seed !== ownAddress)
-        .map((seed) => [seed, toInstance(seed)]),
+      seeds.flatMap((seed) => {
+        const instance = seed === ownAddress ? undefined : toInstance(seed);
+        return instance ? [[seed, instance]] : [];
+      }),
     );
   }
 
@@ -59,21 +60,26 @@
     this.#peakReportedCount = Math.max(this.#peakReportedCount, count);
   }
 
-  /** Records that a peer was heard of `ageMs` ago. */
-  record(peer: SharedPeer): void {
+  /**
+   * Records that a peer was heard of `ageMs` ago. Returns false if its address
+   * is none, so that it can't be a peer.
+   */
+  record(peer: SharedPeer): boolean {
     const { address, region, availabilityZone, ageMs } = peer;
-    if (address === this.#ownAddress) return;
+    if (address === this.#ownAddress) return true;
     const heardAtMs = monotonicMs() - ageMs;
     const known = this.#peers.get(address);
-    if (known && known.heardAtMs >= heardAtMs) return;
+    if (known && known.heardAtMs >= heardAtMs) return true;
     const isSame =
       known?.instance.region === region &&
       known.instance.availabilityZone === availabilityZone;
     const instance = isSame
       ? known.instance
       : toInstance(address, { region, availabilityZone });
+    if (!instance) return false;
     this.#peers.set(address, { instance, heardAtMs });
     this.#peakPeerCount = Math.max(this.#peakPeerCount, this.#peers.size);
+    return true;
   }
 
   /** Counts the recently heard peers of each region. */
@@ -147,12 +153,13 @@
     region: "",
     availabilityZone: "",
   },
-): Instance {
-  const { host, port } = parseAddress(address);
+): Instance | undefined {
+  const parsed = parseAddress(address);
+  if (!parsed) return undefined;
   return {
     instanceId: address,
-    host,
-    peerPort: port,
+    host: parsed.host,
+    peerPort: parsed.port,
     ...location,
     state: "live",
   };
--- a/packages/gateway/src/mesh/peer_store_reader_provider.ts
+++ b/packages/gateway/src/mesh/peer_store_reader_provider.ts
@@ -26,7 +26,10 @@
     this.#peers = dependencies.peers;
     this.#poller = dependencies.poller;
     this.#logger = dependencies.logger;
-    this.#refusedEntries = new RefusedEntryLog(dependencies.logger);
+    this.#refusedEntries = new RefusedEntryLog(
+      dependencies.logger,
+      "runner_entry_refused",
+    );
   }
 
   /** Returns undefined if this instance reads the store itself. */
@@ -38,11 +41,12 @@
     }
     if (instanceId === undefined) return undefined;
     const client = this.#peers.find(instanceId);
-    if (!client) return undefined;
+    const address = parseAddress(instanceId);
+    if (!client || !address) return undefined;
     return new PeerStoreReader(
       instanceId,
       client,
-      async () => this.#poller.poll(parseAddress(instanceId)),
+      async () => this.#poller.poll(address),
       (runnerId, reason) => {
         this.#refusedEntries.record(runnerId, reason);
       },
--- a/packages/gateway/src/views/refused_entry_log.ts
+++ b/packages/gateway/src/views/refused_entry_log.ts
@@ -6,18 +6,22 @@
 const MAX_LINES = 20;
 const MAX_KEY_LENGTH = 200;
 
+type RefusalEvent = "runner_entry_refused" | "peer_refused";
+
 /**
- * Logs entries of runners that are left out: a line for each key and reason in
- * an interval, as an odd entry may be read again and again.
+ * Logs entries that others wrote and that are left out: a line for each key and
+ * reason in an interval, as an odd entry may be read again and again.
  */
 export class RefusedEntryLog {
   readonly #logger: Pick<Logger, "warn">;
+  readonly #event: RefusalEvent;
   readonly #reasons = new Map<string, string>();
   #intervalEndsAtMs = 0;
   #unloggedCount = 0;
 
-  constructor(logger: Pick<Logger, "warn">) {
+  constructor(logger: Pick<Logger, "warn">, event: RefusalEvent) {
     this.#logger = logger;
+    this.#event = event;
   }
 
   record(key: string, reason: string): void {
@@ -33,7 +37,7 @@
       return;
     }
     this.#reasons.set(shortKey, reason);
-    this.#logger.warn("runner_entry_refused", {
+    this.#logger.warn(this.#event, {
       key: shortKey,
       reason,
       unlogged: this.#unloggedCount,
