Let no odd peer or digest end the gossip's process

An instance listed at a port out of range or a host that is none, here or in the product's instance list, made PeerDirectory.find throw "Invalid URL" outside of any handler, as an unhandled rejection in each round. A digest that cannot be made or merged did the same. Such an instance has no client now, and what an exchange throws is logged as peer_exchange_failed.

--- a/packages/coordination/src/membership.ts
+++ b/packages/coordination/src/membership.ts
@@ -116,16 +116,28 @@
 
   /** Merges a peer's digest and returns this instance's own digest. */
   handleDigest(digest: Digest): Digest {
-    void this.#merge(digest);
+    const peer = digest.sender?.instanceId ?? "";
+    void this.#merge(digest).catch((error: unknown) => {
+      this.#logFailure(peer, error);
+    });
     return this.#createDigest();
   }
 
   async #exchange(instanceId: string): Promise<void> {
-    if (!(await this.#exchangeDatagrams(instanceId))) {
-      await this.#call(instanceId);
+    try {
+      if (!(await this.#exchangeDatagrams(instanceId))) {
+        await this.#call(instanceId);
+      }
+    } catch (error) {
+      this.#logFailure(instanceId, error);
     }
   }
 
+  #logFailure(peer: string, error: unknown): void {
+    const reason = describeError(error);
+    this.#logger.error("peer_exchange_failed", { peer, reason });
+  }
+
   async #exchangeDatagrams(instanceId: string): Promise<boolean> {
     if (!this.#datagrams) return false;
     const peer = this.#listPeers().find((p) => p.instanceId === instanceId);
--- a/packages/coordination/src/peer_directory.ts
+++ b/packages/coordination/src/peer_directory.ts
@@ -28,14 +28,17 @@
     this.#findInstance = findInstance;
   }
 
-  /** Returns a peer's client, or undefined if the instance is not listed. */
+  /**
+   * Returns a peer's client, or undefined if the instance is not listed, or is
+   * at an address that is none.
+   */
   find(instanceId: string): Client<typeof PeerService> | undefined {
     const instance = this.#findInstance(instanceId);
-    if (!instance) {
+    const url = instance && `http://${instance.host}:${instance.peerPort}`;
+    if (url === undefined || !URL.canParse(url)) {
       this.#drop(instanceId);
       return undefined;
     }
-    const url = `http://${instance.host}:${instance.peerPort}`;
     const known = this.#entries.get(instanceId);
     if (known?.url === url) return known.client;
     this.#drop(instanceId);
