Bound the token counts that callers state

A request with X-Jujubeladder-Token-Usage 4294967296,1 at a plain service, or digits that stand for Infinity, gave its runner a load beyond a uint32. Digests could not be encoded while it ran: no datagram and no call left or was answered, so that peers lost this instance's view.

--- a/packages/gateway/src/__tests__/odd_digests.test.ts
+++ b/packages/gateway/src/__tests__/odd_digests.test.ts
@@ -1,5 +1,10 @@
 import process from "node:process";
-import { create, type MessageInitShape } from "@bufbuild/protobuf";
+import {
+  create,
+  fromBinary,
+  toBinary,
+  type MessageInitShape,
+} from "@bufbuild/protobuf";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import {
@@ -12,6 +17,7 @@
 import { DigestSchema, type Digest } from "@jujubeladder/protocol";
 import { sleep } from "@jujubeladder/utils";
 import { LoadTracker } from "../decisions/load_tracker.js";
+import { Placement } from "../decisions/placement.js";
 import { createMembership } from "../mesh/create_membership.js";
 import { PeerRoster } from "../mesh/peer_roster.js";
 import type { GatewayCodec } from "../model/gateway_codec.js";
@@ -22,7 +28,7 @@
 const OWN_ADDRESS = "127.0.0.1:1";
 const SOUND_ADDRESS = "127.0.0.1:2";
 const LOCATION = { region: "r1", availabilityZone: "z1" };
-const GOSSIP_MS = 700;
+const GOSSIP_MS = 100;
 
 const ODD_ADDRESSES = [
   "",
@@ -124,4 +130,22 @@
   peers.close();
 });
 
+test("a load beyond the protocol's numbers doesn't end the gossip", () => {
+  for (const tokens of [2 ** 32, 1e308, Number.POSITIVE_INFINITY]) {
+    const { loadTracker, membership } = createFleetView();
+    for (let n = 0; n < 2; n += 1) {
+      const work = { promptTokens: tokens, maxOutputTokens: tokens };
+      loadTracker.place(new Placement("full", { ...work, prefixParts: [] }));
+    }
+    const digest = membership.handleDigest(create(DigestSchema));
+    const [share] = fromBinary(
+      DigestSchema,
+      toBinary(DigestSchema, digest),
+    ).runnerShares;
+    assert.is(share?.requests, 2);
+    assert.is(share?.peakTokens, 2 ** 32 - 1);
+    assert.is(share?.unreadTokens, 2 ** 32 - 1);
+  }
+});
+
 test.run();
--- a/packages/gateway/src/mesh/create_gossip_extension.ts
+++ b/packages/gateway/src/mesh/create_gossip_extension.ts
@@ -9,6 +9,8 @@
 /** An older confirmation is of no use to peers and is not sent. */
 const MAX_CONFIRMATION_AGE_MS = 10_000;
 
+const MAX_UINT32 = 2 ** 32 - 1;
+
 /**
  * Creates the gateway's part of the gossip digests: confirmation of the
  * configuration, known peers, and the load placed on each runner.
@@ -44,8 +46,8 @@
         runnerShares: [...loadTracker.listOwn()].map(([runnerId, load]) => ({
           runnerId,
           requests: load.requests,
-          peakTokens: Math.round(load.peakTokens),
-          unreadTokens: load.unreadTokens,
+          peakTokens: toUint32(load.peakTokens),
+          unreadTokens: toUint32(load.unreadTokens),
         })),
       };
     },
@@ -84,3 +86,8 @@
     },
   };
 }
+
+// Callers state the tokens of their requests, so that sums may be any number.
+function toUint32(value: number): number {
+  return Math.min(Math.round(value), MAX_UINT32);
+}
