Leave out numbers in a digest that no fleet can have

A share of requests closed its runner to this instance. Fleets above 10,000 and shares above 65,535 requests are left out.

Both tests failed before.

--- a/packages/gateway/src/__tests__/odd_digests.test.ts
+++ b/packages/gateway/src/__tests__/odd_digests.test.ts
@@ -130,7 +130,26 @@
   peers.close();
 });
 
-test("a load beyond the protocol's numbers doesn't end the gossip", () => {
+test("a fleet beyond any size takes no part of the retry budget", () => {
+  const { roster, membership } = createFleetView();
+  handleDigest(membership, { knownInstances: 300 });
+  handleDigest(membership, { knownInstances: 2 ** 32 - 1 });
+  assert.is(roster.peakInstanceCount, 300);
+});
+
+test("a load beyond any runner's closes no runner", () => {
+  const { loadTracker, membership } = createFleetView();
+  handleDigest(membership, {
+    runnerShares: [
+      { runnerId: "odd", requests: 2 ** 32 - 1 },
+      { runnerId: "sound", requests: 3 },
+    ],
+  });
+  assert.is(loadTracker.getLoad("odd").requests, 0);
+  assert.is(loadTracker.getLoad("sound").requests, 3);
+});
+
+test("a load beyond the protocol's the protocol's numbers doesn't end the gossip", () => {
   for (const tokens of [2 ** 32, 1e308, Number.POSITIVE_INFINITY]) {
     const { loadTracker, membership } = createFleetView();
     for (let n = 0; n < 2; n += 1) {
--- a/packages/gateway/src/mesh/create_gossip_extension.ts
+++ b/packages/gateway/src/mesh/create_gossip_extension.ts
@@ -9,6 +9,8 @@
 /** An older confirmation is of no use to peers and is not sent. */
 const MAX_CONFIRMATION_AGE_MS = 10_000;
 
+/** No instance places more requests on one runner. */
+const MAX_SHARE_REQUESTS = 65_535;
 const MAX_UINT32 = 2 ** 32 - 1;
 
 /**
@@ -63,10 +65,9 @@
       loadTracker.recordPeer(address, {
         region,
         byRunner: new Map(
-          digest.runnerShares.map(({ runnerId, ...share }) => [
-            runnerId,
-            share,
-          ]),
+          digest.runnerShares
+            .filter(({ requests }) => requests <= MAX_SHARE_REQUESTS)
+            .map(({ runnerId, ...share }) => [runnerId, share]),
         ),
       });
       for (const incarnationId of digest.leavingRunners) {
--- a/packages/gateway/src/mesh/peer_roster.ts
+++ b/packages/gateway/src/mesh/peer_roster.ts
@@ -7,6 +7,8 @@
 /** Only peers heard of more recently than this go into digests. */
 const MAX_SHARED_AGE_MS = 5_000;
 
+const MAX_INSTANCES = 10_000;
+
 /**
  * Limit on peers in one digest. At ten digests per second, an instance hears
  * of 390 peers every three seconds, well within the eviction time.
@@ -55,8 +57,12 @@
     return Math.max(this.#peakPeerCount + 1, this.#peakReportedCount);
   }
 
-  /** Records the number of instances that a peer reports. */
+  /**
+   * Records the number of instances that a peer reports, unless no fleet is so
+   * large: all peers pass the highest number on, and it never falls.
+   */
   recordKnownInstances(count: number): void {
+    if (count > MAX_INSTANCES) return;
     this.#peakReportedCount = Math.max(this.#peakReportedCount, count);
   }
 
