Keep the sync loops running after an exception

An exception in a decoder, the directory or the announcement to followers ended syncConfig or syncRunners for good, as an unhandled rejection that ends the process; where it is caught, the instance would serve its last view for ever. It counts as a failed read of the store or the reader now, with its backoff, and the list is read again.

--- a/packages/gateway/src/views/sync_config.ts
+++ b/packages/gateway/src/views/sync_config.ts
@@ -2,6 +2,7 @@
 import type { MetadataStore } from "../model/metadata_store.js";
 import type { StoreReader } from "../model/store_reader.js";
 import { computeStoreBackoffMs } from "./compute_store_backoff_ms.js";
+import { recoverFromException } from "./recover_from_exception.js";
 import type { ActiveConfig } from "./active_config.js";
 import type { StoreReaderProvider } from "./store_reader_provider.js";
 import type { StoreReadHealth } from "./store_read_health.js";
@@ -45,9 +46,14 @@
   let position = INITIAL_POSITION;
   while (!signal.aborted) {
     const reader = activeConfig.version > 0 ? readerProvider.find() : undefined;
-    if (reader && (await confirmByReader(dependencies, reader))) {
+    try {
+      if (reader && (await confirmByReader(dependencies, reader))) {
+        position = INITIAL_POSITION;
+      } else position = await syncFromStore(dependencies, position);
+    } catch (error) {
       position = INITIAL_POSITION;
-    } else position = await syncFromStore(dependencies, position);
+      await recoverFromException(dependencies, reader, error);
+    }
   }
 }
 
--- a/packages/gateway/src/views/sync_runners.ts
+++ b/packages/gateway/src/views/sync_runners.ts
@@ -3,6 +3,7 @@
 import type { RunnerChange } from "../model/runner_change.js";
 import type { StoreReader } from "../model/store_reader.js";
 import { computeStoreBackoffMs } from "./compute_store_backoff_ms.js";
+import { recoverFromException } from "./recover_from_exception.js";
 import type { StoreReaderProvider } from "./store_reader_provider.js";
 import type { RunnerDirectory } from "./runner_directory.js";
 import type { RunnerWatchCache } from "./runner_watch_cache.js";
@@ -42,9 +43,14 @@
   while (!signal.aborted) {
     const reader = readerProvider.find();
     const waitMs = wasReader ? WATCH_WAIT_MS : FIRST_WATCH_WAIT_MS;
-    asOf = reader
-      ? await syncFromReader(dependencies, reader, asOf)
-      : await syncFromStore(dependencies, asOf, waitMs);
+    try {
+      asOf = reader
+        ? await syncFromReader(dependencies, reader, asOf)
+        : await syncFromStore(dependencies, asOf, waitMs);
+    } catch (error) {
+      asOf = undefined;
+      await recoverFromException(dependencies, reader, error);
+    }
     wasReader = !reader;
   }
 }
