--- a/packages/gateway/src/mesh/create_gossip_extension.ts
+++ b/packages/gateway/src/mesh/create_gossip_extension.ts
@@ -1,12 +1,18 @@
 import type { GossipExtension } from "@jujubeladder/coordination";
+import type { Logger } from "@jujubeladder/logger";
 import type { LoadTracker } from "../decisions/load_tracker.js";
 import type { ActiveConfig } from "../views/active_config.js";
 import type { RunnerDirectory } from "../views/runner_directory.js";
+import { RefusedEntryLog } from "../views/refused_entry_log.js";
 import type { PeerRoster } from "./peer_roster.js";
 
 /** An older confirmation is of no use to peers and is not sent. */
 const MAX_CONFIRMATION_AGE_MS = 10_000;
 
+/** No instance places more requests on one runner. */
+const MAX_SHARE_REQUESTS = 65_535;
+const MAX_UINT32 = 2 ** 32 - 1;
+
 /**
  * Creates the gateway's part of the gossip digests: confirmation of the
  * configuration, known peers, and the load placed on each runner.
@@ -16,8 +22,15 @@
   readonly loadTracker: LoadTracker;
   readonly activeConfig: ActiveConfig;
   readonly directory: RunnerDirectory;
+  readonly logger: Logger;
 }): GossipExtension {
   const { roster, loadTracker, activeConfig, directory } = dependencies;
+  const refusedPeers = new RefusedEntryLog(dependencies.logger, "peer_refused");
+  const record = (peer: Parameters<PeerRoster["record"]>[0]): boolean => {
+    const isPeer = roster.record(peer);
+    if (!isPeer) refusedPeers.record(peer.address, "the address is none");
+    return isPeer;
+  };
   return {
     describe: () => {
       const ageMs = activeConfig.confirmedAgeMs;
@@ -35,8 +48,8 @@
         runnerShares: [...loadTracker.listOwn()].map(([runnerId, load]) => ({
           runnerId,
           requests: load.requests,
-          peakTokens: Math.round(load.peakTokens),
-          unreadTokens: load.unreadTokens,
+          peakTokens: toUint32(load.peakTokens),
+          unreadTokens: toUint32(load.unreadTokens),
         })),
       };
     },
@@ -44,18 +57,17 @@
       const { sender, region, availabilityZone } = digest;
       if (!sender) return;
       const address = sender.instanceId;
-      roster.record({ address, region, availabilityZone, ageMs: 0 });
+      if (!record({ address, region, availabilityZone, ageMs: 0 })) return;
       roster.recordKnownInstances(digest.knownInstances);
       for (const peer of digest.members) {
-        roster.record({ ...peer, ageMs: peer.heardAgeMs });
+        record({ ...peer, ageMs: peer.heardAgeMs });
       }
       loadTracker.recordPeer(address, {
         region,
         byRunner: new Map(
-          digest.runnerShares.map(({ runnerId, ...share }) => [
-            runnerId,
-            share,
-          ]),
+          digest.runnerShares
+            .filter(({ requests }) => requests <= MAX_SHARE_REQUESTS)
+            .map(({ runnerId, ...share }) => [runnerId, share]),
         ),
       });
       for (const incarnationId of digest.leavingRunners) {
@@ -75,3 +87,8 @@
     },
   };
 }
+
+// Callers state the tokens of their requests, so that sums may be any number.
+function toUint32(value: number): number {
+  return Math.min(Math.round(value), MAX_UINT32);
+}
--- a/packages/gateway/src/mesh/peer_store_reader.ts
+++ b/packages/gateway/src/mesh/peer_store_reader.ts
@@ -1,7 +1,12 @@
 import { Code, ConnectError, type Client } from "@connectrpc/connect";
-import type { PeerService, ViewState } from "@jujubeladder/protocol";
+import type {
+  PeerService,
+  RunnerEntry,
+  ViewState,
+} from "@jujubeladder/protocol";
 import type { Result } from "@jujubeladder/types";
 import { describeError, setPatientTimeout } from "@jujubeladder/utils";
+import type { RunnerChange } from "../model/runner_change.js";
 import type { RunnerListUpdate } from "../model/runner_list_update.js";
 import type { StoreReader } from "../model/store_reader.js";
 import { decodeRunnerEntry } from "./decode_runner_entry.js";
@@ -13,21 +18,33 @@
 /** Older views are rejected, as a leaving runner gives only 2 s of notice. */
 const MAX_VIEW_AGE_MS = 1_800;
 
+/** The store has no changes after such a revision, so that none would be seen. */
+const ODD_REVISION = {
+  ok: false,
+  error: "the peer's revision is out of range",
+} as const;
+
 /** Watches the configuration and the runners through a peer. */
 export class PeerStoreReader implements StoreReader {
   readonly instanceId: string;
   readonly #client: Client<typeof PeerService>;
   readonly #pollView: () => Promise<ViewState | undefined>;
+  readonly #onRefusedEntry: (runnerId: string, reason: string) => void;
 
-  /** `pollView` is the cheaper way to learn that nothing has changed. */
+  /**
+   * `pollView` is the cheaper way to learn that nothing has changed;
+   * `onRefusedEntry` is called for each entry that names no runner to use.
+   */
   constructor(
     instanceId: string,
     client: Client<typeof PeerService>,
     pollView: () => Promise<ViewState | undefined>,
+    onRefusedEntry: (runnerId: string, reason: string) => void,
   ) {
     this.instanceId = instanceId;
     this.#client = client;
     this.#pollView = pollView;
+    this.#onRefusedEntry = onRefusedEntry;
   }
 
   async watchConfig(options: {
@@ -80,7 +97,9 @@
       const { runnersAgeMs: ageMs } = view;
       if (ageMs === undefined || ageMs > MAX_VIEW_AGE_MS)
         return staleView(ageMs);
-      const known = { asOf: Number(view.runnersAsOf), ageMs };
+      const asOfView = Number(view.runnersAsOf);
+      if (!Number.isSafeInteger(asOfView)) return ODD_REVISION;
+      const known = { asOf: asOfView, ageMs };
       return { ok: true, value: { ...known, type: "changes", changes: [] } };
     }
     try {
@@ -91,7 +110,8 @@
       if (ageMs === undefined || ageMs > MAX_VIEW_AGE_MS)
         return staleView(ageMs);
       const known = { asOf: Number(response.asOf), ageMs };
-      const changes = response.entries.map(decodeRunnerEntry);
+      if (!Number.isSafeInteger(known.asOf)) return ODD_REVISION;
+      const changes = response.entries.map((entry) => this.#decode(entry));
       if (!response.isList) {
         return { ok: true, value: { ...known, type: "changes", changes } };
       }
@@ -103,6 +123,15 @@
       return { ok: false, error: describeError(error) };
     }
   }
+
+  // An entry that names no runner to use removes the one that it named before.
+  #decode(entry: RunnerEntry): RunnerChange {
+    const decoded = decodeRunnerEntry(entry);
+    if (decoded.ok) return decoded.value;
+    const { runnerId } = entry;
+    this.#onRefusedEntry(runnerId, decoded.error);
+    return { type: "removed", runnerId };
+  }
 }
 
 // The peer gets no time limit, which it would apply to a response that is ready
