--- a/packages/gateway/src/__tests__/crash_detector.test.ts
+++ b/packages/gateway/src/__tests__/crash_detector.test.ts
@@ -25,7 +25,12 @@
   for (let n = 0; n < QUARANTINE_THRESHOLD; n += 1) {
     const runner = createRunner(`runner-${n}`);
     directory.put(runner);
-    detector.checkForCrash(runner, "request");
+    detector.checkForCrash(runner, {
+      requestId: `request-${n}`,
+      fingerprint: "request",
+      sharedPartIds: [],
+      writingForMs: undefined,
+    });
   }
   await sleep(PROBED_MS);
   return quarantine;
--- a/packages/gateway/src/relay/crash_detector.ts
+++ b/packages/gateway/src/relay/crash_detector.ts
@@ -6,6 +6,7 @@
 import { toIncarnationId } from "../model/to_incarnation_id.js";
 import { HttpConnection } from "../transport/http_connection.js";
 import type { RunnerDirectory } from "../views/runner_directory.js";
+import type { InterruptedRequest } from "./interrupted_request.js";
 
 /** Time after which a crashed process has stopped listening. */
 const PROBE_DELAY_MS = 100;
@@ -45,12 +46,16 @@
   }
 
   /** Probes a runner whose response to the request was cut off. */
-  checkForCrash(runner: GatewayRunner, fingerprint: string): void {
+  checkForCrash(runner: GatewayRunner, request: InterruptedRequest): void {
     if (this.#directory.isLeaving(runner.runnerId)) return;
-    void this.#probe(runner, fingerprint);
+    void this.#probe(runner, request);
   }
 
-  async #probe(runner: GatewayRunner, fingerprint: string): Promise<void> {
+  async #probe(
+    runner: GatewayRunner,
+    request: InterruptedRequest,
+  ): Promise<void> {
+    const { fingerprint } = request;
     await sleep(PROBE_DELAY_MS);
     const opened = await this.#open(
       { host: runner.host, port: runner.port },
@@ -71,8 +76,12 @@
     const incarnationId = toIncarnationId(runner);
     if (!this.#quarantine.recordLosses(fingerprint, [incarnationId])) return;
     this.#logger.warn("runner_lost", {
+      request: request.requestId,
       runner: runner.runnerId,
+      incarnation: incarnationId,
       fingerprint,
+      parts: request.sharedPartIds.join(",") || undefined,
+      writing_for_ms: request.writingForMs,
       reason: opened.error,
       suspicion: this.#quarantine.status(fingerprint).type,
     });
--- a/packages/gateway/src/relay/request_relay.ts
+++ b/packages/gateway/src/relay/request_relay.ts
@@ -5,6 +5,7 @@
 import { endsBeforeExit } from "../decisions/ends_before_exit.js";
 import { estimateRetryAfterMs } from "../decisions/estimate_retry_after_ms.js";
 import { FailureBlame } from "../decisions/failure_blame.js";
+import { listSharedParts } from "../decisions/list_shared_parts.js";
 import type { OutlierScores } from "../decisions/outlier_scores.js";
 import { RateMeter } from "../decisions/rate_meter.js";
 import { refuseWhileStopping } from "../decisions/refuse_while_stopping.js";
@@ -16,6 +17,7 @@
 import type { RunnerDirectory } from "../views/runner_directory.js";
 import type { AttemptOutcome } from "./attempt_outcome.js";
 import type { FinalOutcome } from "./final_outcome.js";
+import type { InterruptedRequest } from "./interrupted_request.js";
 import { logAttempt } from "./log_attempt.js";
 import { mayRetry } from "./may_retry.js";
 import { recordStream } from "./record_stream.js";
@@ -58,7 +60,10 @@
   readonly outliers: OutlierScores;
   readonly retryBudget: FleetRetryBudget;
   readonly quarantine: Quarantine;
-  readonly checkForCrash: (runner: GatewayRunner, fingerprint: string) => void;
+  readonly checkForCrash: (
+    runner: GatewayRunner,
+    request: InterruptedRequest,
+  ) => void;
   /**
    * When this instance exits, on the monotonic clock; undefined unless it is
    * stopping.
@@ -375,7 +380,12 @@
         progress.lastReason = outcome.reason;
         progress.mayHaveExecuted = true;
         if (progress.continueAt) return undefined;
-        this.#dependencies.checkForCrash(runner, context.computeFingerprint());
+        this.#dependencies.checkForCrash(runner, {
+          requestId: context.request.requestId,
+          fingerprint: context.computeFingerprint(),
+          sharedPartIds: listSharedParts(context.request.work),
+          writingForMs: session?.writingForMs,
+        });
         progress.executionCount += 1;
         return canRetry ? undefined : this.#giveUp(context, progress);
       case "slow":
--- a/packages/gateway/src/relay/stream_session.ts
+++ b/packages/gateway/src/relay/stream_session.ts
@@ -15,6 +15,7 @@
   #lastEventId: number | undefined;
   #eventCount = 0;
   #firstEventAtMs: number | undefined;
+  #runFirstEventAtMs: number | undefined;
   #lastEventAtMs: number | undefined;
   #longestGapMs = 0;
   #head: RunnerResponse | undefined;
@@ -55,9 +56,17 @@
     return this.#longestGapMs;
   }
 
-  /** Sets the placement that further output is recorded on. */
+  /** Time from the current run's first to its last event, if it has any. */
+  get writingForMs(): number | undefined {
+    return this.#runFirstEventAtMs === undefined
+      ? undefined
+      : (this.#lastEventAtMs ?? 0) - this.#runFirstEventAtMs;
+  }
+
+  /** Begins a run, whose output is recorded on the placement. */
   setPlacement(placement: Placement): void {
     this.#placement = placement;
+    this.#runFirstEventAtMs = undefined;
     if (this.#eventCount > 0) this.#recordOutput();
   }
 
@@ -78,6 +87,7 @@
     const gapMs = nowMs - (this.#lastEventAtMs ?? nowMs);
     this.#longestGapMs = Math.max(this.#longestGapMs, gapMs);
     this.#firstEventAtMs ??= nowMs;
+    this.#runFirstEventAtMs ??= nowMs;
     this.#lastEventAtMs = nowMs;
     this.#recordOutput();
     // The head is sent with the first event, so that a run that fails before
--- a/packages/gateway/src/server/gateway_instance.ts
+++ b/packages/gateway/src/server/gateway_instance.ts
@@ -178,8 +178,8 @@
         Math.max(MIN_FLEET_SIZE, this.#roster.peakInstanceCount),
       ),
       quarantine,
-      checkForCrash: (runner, fingerprint) => {
-        crashDetector.checkForCrash(runner, fingerprint);
+      checkForCrash: (runner, request) => {
+        crashDetector.checkForCrash(runner, request);
       },
       exitAtMs,
       metrics: this.#metrics,
