Decide which prompt parts crash runners

Cause: the quarantine is keyed by a hash of the whole request. Requests with a part that crashes runners are no two alike, so that none reaches a verdict.

Ruled out: ordering all parts by their losses beyond the threshold.

Change: PartQuarantine keeps lost incarnations and the last life of each part. Not wired into the gateway yet.

--- /dev/null
+++ b/packages/coordination/src/to_sound_suspicion.ts
@@ -0,0 +1,30 @@
+import { isSoundId } from "./is_sound_id.js";
+import type { PartSuspicion } from "./part_suspicion.js";
+
+const MAX_LOSSES = 8;
+
+/**
+ * Returns a suspicion without what cannot be recorded (ids that are empty or
+ * too long, ages that are no time), or undefined if no loss remains.
+ */
+export function toSoundSuspicion(
+  suspicion: PartSuspicion,
+): PartSuspicion | undefined {
+  const { partId, livedAgeMs } = suspicion;
+  const losses = suspicion.losses
+    .slice(0, MAX_LOSSES)
+    .filter(
+      ({ incarnationId, ageMs }) => isSoundId(incarnationId) && isAge(ageMs),
+    );
+  if (!isSoundId(partId) || losses.length === 0) return undefined;
+  return {
+    partId,
+    losses,
+    livedAgeMs:
+      livedAgeMs !== undefined && isAge(livedAgeMs) ? livedAgeMs : undefined,
+  };
+}
+
+function isAge(ageMs: number): boolean {
+  return Number.isFinite(ageMs) && ageMs >= 0;
+}
