--- a/packages/coordination/src/part_quarantine.ts
+++ b/packages/coordination/src/part_quarantine.ts
@@ -3,7 +3,7 @@
 import { clocksBefore } from "./clocks_before.js";
 import { isSoundId } from "./is_sound_id.js";
 import { judgeParts } from "./judge_parts.js";
-import { PartEvidence } from "./part_evidence.js";
+import { PartRecord } from "./part_record.js";
 import type { PartStatus } from "./part_status.js";
 import type { PartSuspicion } from "./part_suspicion.js";
 import type { PartVerdict } from "./part_verdict.js";
@@ -46,7 +46,7 @@
  */
 export class PartQuarantine {
   readonly #readClocks: () => ClockReading;
-  readonly #parts = new Map<string, PartEvidence>();
+  readonly #parts = new Map<string, PartRecord>();
   readonly #lives = new RecentLives();
   #verdicts: ReadonlyMap<string, PartVerdict> = new Map();
   /** Incarnations that convicted parts have lost. */
@@ -142,7 +142,7 @@
     const recent = losses.filter(({ ageMs }) => ageMs <= VERDICT_MS);
     const known = this.#parts.get(partId);
     if (!known && recent.length === 0) return false;
-    const evidence = known ?? new PartEvidence(this.#lives.take(partId));
+    const evidence = known ?? new PartRecord(this.#lives.take(partId));
     if (!known) this.#parts.set(partId, evidence);
     let isNews = false;
     for (const { incarnationId, ageMs } of recent) {
@@ -165,7 +165,7 @@
 
   #addLife(
     partId: string,
-    evidence: PartEvidence,
+    evidence: PartRecord,
     ageMs: number,
     now: ClockReading,
   ): boolean {
--- a/packages/coordination/src/part_evidence.ts
+++ b/packages/coordination/src/part_record.ts
@@ -19,7 +19,7 @@
 }
 
 /** What is known of one prompt part: the runners it lost, and its last life. */
-export class PartEvidence {
+export class PartRecord {
   readonly #losses = new Map<string, Loss>();
   #livedAt: ClockReading | undefined;
 
--- a/packages/coordination/src/rank_parts.ts
+++ b/packages/coordination/src/rank_parts.ts
@@ -1,12 +1,12 @@
 import type { ClockReading } from "@jujubeladder/utils";
-import type { PartEvidence } from "./part_evidence.js";
+import type { PartRecord } from "./part_record.js";
 
 /** Sorts parts by rank, then by number of losses, then the newest loss first. */
 export function rankParts(
-  parts: ReadonlyMap<string, PartEvidence>,
+  parts: ReadonlyMap<string, PartRecord>,
   rankOf: (partId: string) => number,
   now: ClockReading,
-): readonly (readonly [string, PartEvidence])[] {
+): readonly (readonly [string, PartRecord])[] {
   return [...parts]
     .map(([partId, evidence]) => ({
       entry: [partId, evidence] as const,
