Move digests and document fetches out of Membership

Change: createDigest describes the state to a peer, DocumentFetcher fetches newer configuration. No behaviour is changed.

--- /dev/null
+++ b/packages/coordination/src/create_digest.ts
@@ -0,0 +1,29 @@
+import { create } from "@bufbuild/protobuf";
+import { DigestSchema, type Digest } from "@jujubeladder/protocol";
+import type { GossipState } from "./gossip_state.js";
+
+const MAX_SUSPICIONS_SENT = 32;
+
+/** Describes an instance's state to a peer. */
+export function createDigest(state: GossipState, isLeaving: boolean): Digest {
+  return create(DigestSchema, {
+    sender: state.identity,
+    availabilityZone: state.availabilityZone,
+    region: state.region,
+    ...state.extension?.describe(),
+    isLeaving,
+    revision: BigInt(state.revision()),
+    documentHash: state.documentHash(),
+    leavingRunners: [...state.leavingRunners.list()],
+    suspicions: state.quarantine.list(MAX_SUSPICIONS_SENT).map((suspicion) => ({
+      fingerprint: suspicion.fingerprint,
+      lostRunners: [...suspicion.lostRunners],
+      ageMs: Math.round(suspicion.ageMs),
+    })),
+    successions: state.successions.list().map((succession) => ({
+      fromIncarnation: succession.fromIncarnation,
+      successor: succession.successor,
+      ageMs: Math.round(succession.ageMs),
+    })),
+  });
+}
--- a/packages/coordination/src/membership.ts
+++ b/packages/coordination/src/membership.ts
@@ -1,6 +1,5 @@
 import Emittery from "emittery";
-import { create } from "@bufbuild/protobuf";
-import { DigestSchema, type Digest } from "@jujubeladder/protocol";
+import type { Digest } from "@jujubeladder/protocol";
 import type { Logger } from "@jujubeladder/logger";
 import type { Instance } from "@jujubeladder/types";
 import {
@@ -11,7 +10,9 @@
   sleep,
   type ClockReading,
 } from "@jujubeladder/utils";
+import { createDigest } from "./create_digest.js";
 import type { DigestExchange } from "./digest_exchange.js";
+import { DocumentFetcher } from "./document_fetcher.js";
 import type { GossipPace } from "./gossip_pace.js";
 import type { GossipState } from "./gossip_state.js";
 import type { PeerDirectory } from "./peer_directory.js";
@@ -21,7 +22,6 @@
 const NEIGHBOUR_COUNT = 8;
 const CALL_TIMEOUT_MS = 1_500;
 const LIVENESS_TIMEOUT_MS = 4_000;
-const MAX_SUSPICIONS_SENT = 32;
 
 /**
  * Gossip between instances: in each interval, an instance exchanges digests
@@ -32,6 +32,7 @@
   readonly events = new Emittery<{ merged: undefined }>();
   readonly #state: GossipState;
   readonly #directory: PeerDirectory;
+  readonly #documents: DocumentFetcher;
   readonly #listInstances: () => readonly Instance[];
   readonly #logger: Logger;
   readonly #pace: () => GossipPace;
@@ -39,7 +40,6 @@
   readonly #peers = new Map<string, PeerState>();
   readonly #nearOrder: RendezvousOrder;
   readonly #farOrder: RendezvousOrder;
-  readonly #fetching = new Set<string>();
   #isLeaving = false;
 
   constructor(
@@ -58,6 +58,7 @@
     this.#nearOrder = new RendezvousOrder(state.identity.instanceId);
     this.#farOrder = new RendezvousOrder(state.identity.instanceId);
     this.#directory = options.directory;
+    this.#documents = new DocumentFetcher(state, options);
     this.#listInstances = options.listInstances;
     this.#logger = options.logger;
     this.#pace = options.pace ?? (() => DEFAULT_PACE);
@@ -159,29 +160,7 @@
   }
 
   #createDigest(): Digest {
-    const state = this.#state;
-    return create(DigestSchema, {
-      sender: state.identity,
-      availabilityZone: state.availabilityZone,
-      region: state.region,
-      ...state.extension?.describe(),
-      isLeaving: this.#isLeaving,
-      revision: BigInt(state.revision()),
-      documentHash: state.documentHash(),
-      leavingRunners: [...state.leavingRunners.list()],
-      suspicions: state.quarantine
-        .list(MAX_SUSPICIONS_SENT)
-        .map((suspicion) => ({
-          fingerprint: suspicion.fingerprint,
-          lostRunners: [...suspicion.lostRunners],
-          ageMs: Math.round(suspicion.ageMs),
-        })),
-      successions: state.successions.list().map((succession) => ({
-        fromIncarnation: succession.fromIncarnation,
-        successor: succession.successor,
-        ageMs: Math.round(succession.ageMs),
-      })),
-    });
+    return createDigest(this.#state, this.#isLeaving);
   }
 
   async #merge(digest: Digest, sentAt?: ClockReading): Promise<void> {
@@ -212,40 +191,7 @@
       if (successor) successions.record(fromIncarnation, successor, ageMs);
     }
     void this.events.emit("merged");
-    if (this.#mayBeNewer(digest)) {
-      await this.#fetchDocument(sender.instanceId);
-    }
-  }
-
-  // Two operators may have published different documents under one revision.
-  // Their content decides between them, so the peer's document is fetched too.
-  #mayBeNewer(digest: Digest): boolean {
-    const own = this.#state.revision();
-    const theirs = Number(digest.revision);
-    const isDifferent = digest.documentHash !== this.#state.documentHash();
-    return theirs > own || (theirs === own && theirs > 0 && isDifferent);
-  }
-
-  async #fetchDocument(instanceId: string): Promise<void> {
-    if (this.#fetching.has(instanceId)) return;
-    this.#fetching.add(instanceId);
-    try {
-      const response = await this.#directory
-        .find(instanceId)
-        ?.fetchDocument(
-          { leastRevision: BigInt(this.#state.revision()) },
-          { timeoutMs: CALL_TIMEOUT_MS },
-        );
-      if (response?.documentJson)
-        this.#state.offerDocument(response.documentJson);
-    } catch (error) {
-      this.#logger.warn("configuration_fetch_failed", {
-        peer: instanceId,
-        reason: describeError(error),
-      });
-    } finally {
-      this.#fetching.delete(instanceId);
-    }
+    await this.#documents.fetchIfNewer(digest);
   }
 
   #pickTargets(nearFanout: number): readonly string[] {
