Fit digests into datagrams by leaving out what they can spare

Change: PeerDatagrams leaves out suspicions of whole requests, members and the least urgent parts, in this order and with floors, until the digest fits. The newest suspicion and the most urgent parts stay, the others are chosen at random. Calls carry the whole digest. Parts are encoded and decoded within limits (16 parts, 8 losses each, ids of 128 characters); ages are clamped to whole milliseconds of 32 bits, and odd entries are left out.

Ruled out: dropping the oldest suspicions, which would never have been told to peers, as no call follows a datagram that is answered.

--- a/packages/coordination/src/peer_datagrams.ts
+++ b/packages/coordination/src/peer_datagrams.ts
@@ -12,6 +12,7 @@
 import type { DatagramEndpoint } from "./datagram_endpoint.js";
 import type { DatagramHandlers } from "./datagram_handlers.js";
 import type { DigestExchange } from "./digest_exchange.js";
+import { fitDigest } from "./fit_digest.js";
 
 /** Fits into one packet on common links, so that none is fragmented. */
 const MAX_DATAGRAM_BYTES = 1_400;
@@ -24,6 +25,7 @@
 const EXCHANGE_ID_COUNT = 2 ** 32;
 
 type Content = PeerDatagram["content"];
+type DatagramInit = Pick<PeerDatagram, "exchangeId" | "isAnswer" | "content">;
 
 interface PendingExchange extends DatagramEndpoint {
   readonly settle: (answer: Content | undefined) => void;
@@ -172,10 +174,7 @@
     }
   }
 
-  #send(
-    to: DatagramEndpoint,
-    datagram: Pick<PeerDatagram, "exchangeId" | "isAnswer" | "content">,
-  ): boolean {
+  #send(to: DatagramEndpoint, datagram: DatagramInit): boolean {
     if (!this.#socket) return false;
     const fail = (error: unknown) => {
       this.#logger.warn("peer_datagram_not_sent", {
@@ -184,11 +183,8 @@
       });
     };
     try {
-      const bytes = toBinary(
-        PeerDatagramSchema,
-        create(PeerDatagramSchema, datagram),
-      );
-      if (bytes.length > MAX_DATAGRAM_BYTES) return false;
+      const bytes = encode(datagram);
+      if (!bytes) return false;
       this.#socket.send(bytes, to.port, to.host, (error) => {
         if (error) fail(error);
       });
@@ -200,6 +196,19 @@
   }
 }
 
+/** Returns undefined if the content does not fit into a datagram. */
+function encode(datagram: DatagramInit): Uint8Array | undefined {
+  const bytes = toBinary(
+    PeerDatagramSchema,
+    create(PeerDatagramSchema, datagram),
+  );
+  const excessBytes = bytes.length - MAX_DATAGRAM_BYTES;
+  if (excessBytes <= 0) return bytes;
+  if (datagram.content.case !== "digest") return undefined;
+  const value = fitDigest(datagram.content.value, excessBytes);
+  return value && encode({ ...datagram, content: { case: "digest", value } });
+}
+
 function handle(
   content: Content,
   from: DatagramEndpoint,
