Let the gateway exchange evidence on parts of prompts

createMembership takes partEvidence as an optional dependency. Without it, digests carry no parts and those of peers are passed over, as before. No behaviour changes until an instance is given some.

--- a/packages/gateway/src/mesh/create_membership.ts
+++ b/packages/gateway/src/mesh/create_membership.ts
@@ -3,6 +3,7 @@
   Membership,
   Successions,
   type GossipPace,
+  type PartEvidence,
   type PeerDatagrams,
   type PeerDirectory,
   type Quarantine,
@@ -41,9 +42,11 @@
   readonly peerDatagrams: PeerDatagrams;
   readonly loadTracker: LoadTracker;
   readonly quarantine: Quarantine;
+  readonly partEvidence?: PartEvidence;
   readonly logger: Logger;
 }): Membership {
-  const { activeConfig, directory, roster, logger } = dependencies;
+  const { activeConfig, directory, roster, partEvidence, logger } =
+    dependencies;
   const { availabilityZone, region } = dependencies.settings;
   const leavingRunners = new LeavingRunners();
   directory.events.on("leaving", (runner) => {
@@ -59,6 +62,7 @@
       region,
       leavingRunners,
       quarantine: dependencies.quarantine,
+      ...(partEvidence ? { partEvidence } : {}),
       successions: new Successions(SUCCESSION_TTL_MS),
       revision: () => activeConfig.version,
       documentHash: () => activeConfig.hash,
