--- a/packages/coordination/src/membership.ts
+++ b/packages/coordination/src/membership.ts
@@ -1,6 +1,5 @@
 import Emittery from "emittery";
-import { create } from "@bufbuild/protobuf";
-import { DigestSchema, type Digest } from "@jujubeladder/protocol";
+import type { Digest } from "@jujubeladder/protocol";
 import type { Logger } from "@jujubeladder/logger";
 import type { Instance } from "@jujubeladder/types";
 import {
@@ -11,35 +10,41 @@
   sleep,
   type ClockReading,
 } from "@jujubeladder/utils";
+import { createDigest } from "./create_digest.js";
+import { decodePartEvidence } from "./decode_part_evidence.js";
 import type { DigestExchange } from "./digest_exchange.js";
+import { DocumentFetcher } from "./document_fetcher.js";
+import { EvidencePush } from "./evidence_push.js";
 import type { GossipPace } from "./gossip_pace.js";
 import type { GossipState } from "./gossip_state.js";
 import type { PeerDirectory } from "./peer_directory.js";
 import type { PeerState } from "./peer_state.js";
+import { shuffle } from "./shuffle.js";
 
 const DEFAULT_PACE: GossipPace = { intervalMs: 500, nearFanout: 2 };
 const NEIGHBOUR_COUNT = 8;
 const CALL_TIMEOUT_MS = 1_500;
 const LIVENESS_TIMEOUT_MS = 4_000;
-const MAX_SUSPICIONS_SENT = 32;
 
 /**
  * Gossip between instances: in each interval, an instance exchanges digests
  * with a few neighbours and one random instance. The cost per instance does not
  * grow with the fleet, and updates reach all instances within a few rounds.
+ * Evidence on parts of prompts does not wait for the next interval.
  */
 export class Membership {
   readonly events = new Emittery<{ merged: undefined }>();
   readonly #state: GossipState;
   readonly #directory: PeerDirectory;
+  readonly #documents: DocumentFetcher;
   readonly #listInstances: () => readonly Instance[];
   readonly #logger: Logger;
   readonly #pace: () => GossipPace;
   readonly #datagrams: DigestExchange | undefined;
   readonly #peers = new Map<string, PeerState>();
+  readonly #push: EvidencePush;
   readonly #nearOrder: RendezvousOrder;
   readonly #farOrder: RendezvousOrder;
-  readonly #fetching = new Set<string>();
   #isLeaving = false;
 
   constructor(
@@ -52,16 +57,24 @@
       readonly pace?: () => GossipPace;
       /** Tried before a call is made. */
       readonly datagrams?: DigestExchange;
+      /** Chooses the peers that news is pushed to. */
+      readonly random?: () => number;
     },
   ) {
     this.#state = state;
     this.#nearOrder = new RendezvousOrder(state.identity.instanceId);
     this.#farOrder = new RendezvousOrder(state.identity.instanceId);
     this.#directory = options.directory;
+    this.#documents = new DocumentFetcher(state, options);
     this.#listInstances = options.listInstances;
     this.#logger = options.logger;
     this.#pace = options.pace ?? (() => DEFAULT_PACE);
     this.#datagrams = options.datagrams;
+    this.#push = new EvidencePush({
+      listPeers: () => this.#listPeers().map((peer) => peer.instanceId),
+      exchange: (instanceId) => void this.#exchange(instanceId),
+      random: options.random ?? Math.random,
+    });
   }
 
   get isLeaving(): boolean {
@@ -109,6 +122,14 @@
     );
   }
 
+  /**
+   * Spreads new evidence of this instance: it soon exchanges digests with a few
+   * random peers, and those to which it is new do the same.
+   */
+  spread(): void {
+    this.#push.spread();
+  }
+
   async leave(): Promise<void> {
     this.#isLeaving = true;
     await this.pushToAll();
@@ -117,7 +138,7 @@
   /** Merges a peer's digest and returns this instance's own digest. */
   handleDigest(digest: Digest): Digest {
     void this.#merge(digest);
-    return this.#createDigest();
+    return createDigest(this.#state, this.#isLeaving);
   }
 
   async #exchange(instanceId: string): Promise<void> {
@@ -133,7 +154,7 @@
     const sentAt = readClocks();
     const digest = await this.#datagrams.exchangeDigests(
       { host: peer.host, port: peer.peerPort },
-      this.#createDigest(),
+      createDigest(this.#state, this.#isLeaving),
     );
     if (digest) await this.#merge(digest, sentAt);
     return digest !== undefined;
@@ -145,7 +166,7 @@
     const sentAt = readClocks();
     try {
       const response = await client.gossip(
-        { digest: this.#createDigest() },
+        { digest: createDigest(this.#state, this.#isLeaving) },
         { timeoutMs: CALL_TIMEOUT_MS },
       );
       if (response.digest) await this.#merge(response.digest, sentAt);
@@ -158,32 +179,6 @@
     }
   }
 
-  #createDigest(): Digest {
-    const state = this.#state;
-    return create(DigestSchema, {
-      sender: state.identity,
-      availabilityZone: state.availabilityZone,
-      region: state.region,
-      ...state.extension?.describe(),
-      isLeaving: this.#isLeaving,
-      revision: BigInt(state.revision()),
-      documentHash: state.documentHash(),
-      leavingRunners: [...state.leavingRunners.list()],
-      suspicions: state.quarantine
-        .list(MAX_SUSPICIONS_SENT)
-        .map((suspicion) => ({
-          fingerprint: suspicion.fingerprint,
-          lostRunners: [...suspicion.lostRunners],
-          ageMs: Math.round(suspicion.ageMs),
-        })),
-      successions: state.successions.list().map((succession) => ({
-        fromIncarnation: succession.fromIncarnation,
-        successor: succession.successor,
-        ageMs: Math.round(succession.ageMs),
-      })),
-    });
-  }
-
   async #merge(digest: Digest, sentAt?: ClockReading): Promise<void> {
     const { sender } = digest;
     if (!sender) return;
@@ -203,7 +198,8 @@
       heardAtMs: monotonicMs(),
     });
     this.#state.extension?.merge(digest, sentAt);
-    const { leavingRunners, quarantine, successions } = this.#state;
+    const { leavingRunners, partEvidence, quarantine, successions } =
+      this.#state;
     for (const runnerId of digest.leavingRunners) leavingRunners.add(runnerId);
     for (const { fingerprint, lostRunners, ageMs } of digest.suspicions) {
       quarantine.recordLosses(fingerprint, lostRunners, ageMs);
@@ -211,41 +207,10 @@
     for (const { fromIncarnation, successor, ageMs } of digest.successions) {
       if (successor) successions.record(fromIncarnation, successor, ageMs);
     }
+    const parts = decodePartEvidence(digest);
+    if (parts.length > 0 && partEvidence?.merge(parts)) this.#push.relay();
     void this.events.emit("merged");
-    if (this.#mayBeNewer(digest)) {
-      await this.#fetchDocument(sender.instanceId);
-    }
-  }
-
-  // Two operators may have published different documents under one revision.
-  // Their content decides between them, so the peer's document is fetched too.
-  #mayBeNewer(digest: Digest): boolean {
-    const own = this.#state.revision();
-    const theirs = Number(digest.revision);
-    const isDifferent = digest.documentHash !== this.#state.documentHash();
-    return theirs > own || (theirs === own && theirs > 0 && isDifferent);
-  }
-
-  async #fetchDocument(instanceId: string): Promise<void> {
-    if (this.#fetching.has(instanceId)) return;
-    this.#fetching.add(instanceId);
-    try {
-      const response = await this.#directory
-        .find(instanceId)
-        ?.fetchDocument(
-          { leastRevision: BigInt(this.#state.revision()) },
-          { timeoutMs: CALL_TIMEOUT_MS },
-        );
-      if (response?.documentJson)
-        this.#state.offerDocument(response.documentJson);
-    } catch (error) {
-      this.#logger.warn("configuration_fetch_failed", {
-        peer: instanceId,
-        reason: describeError(error),
-      });
-    } finally {
-      this.#fetching.delete(instanceId);
-    }
+    await this.#documents.fetchIfNewer(digest);
   }
 
   #pickTargets(nearFanout: number): readonly string[] {
@@ -281,10 +246,3 @@
   const index = ranks.indexOf(instanceId);
   return index === -1 ? ranks.length : index;
 }
-
-function shuffle(ids: readonly string[]): readonly string[] {
-  return ids
-    .map((id) => ({ id, key: Math.random() }))
-    .sort((a, b) => a.key - b.key)
-    .map((entry) => entry.id);
-}
