Quarantine prompt parts that crash runners

Cause: the quarantine's key was a hash of the whole request, and no two of these requests are alike.

Change: a request that is cut off before it begins, or within 0.3 s, by a runner whose port is closed is evidence against the prompt parts that it shares with others; one that has been writing for longer acquits them. Peers are told at once. A quarantined part is refused as not run at admission, and again before each attempt, so that waiting requests and repeats heed the verdict; so does the quarantine of whole requests now. Sound requests with the other parts go on.

--- a/packages/coordination/src/mod.ts
+++ b/packages/coordination/src/mod.ts
@@ -14,7 +14,6 @@
 export { OwnerLedger } from "./owner_ledger.js";
 export type { DatagramEndpoint } from "./datagram_endpoint.js";
 export type { PartEvidence } from "./part_evidence.js";
-export type { PartSuspicion } from "./part_suspicion.js";
 export { PeerDatagrams } from "./peer_datagrams.js";
 export { PeerDirectory } from "./peer_directory.js";
 export { PartQuarantine } from "./part_quarantine.js";
--- a/packages/gateway/src/__tests__/crash_detector.test.ts
+++ b/packages/gateway/src/__tests__/crash_detector.test.ts
@@ -1,9 +1,10 @@
-import { Quarantine } from "@jujubeladder/coordination";
+import { PartQuarantine, Quarantine } from "@jujubeladder/coordination";
 import { Logger } from "@jujubeladder/logger";
 import { sleep } from "@jujubeladder/utils";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import { CrashDetector } from "../relay/crash_detector.js";
+import { PartEvidenceRecorder } from "../relay/part_evidence_recorder.js";
 import { RunnerDirectory } from "../views/runner_directory.js";
 import { createRunner } from "./create_runner.js";
 
@@ -12,13 +13,30 @@
 const PROBED_MS = 200;
 
 /** Cuts one request at as many runners as it takes to quarantine it. */
-async function cutAtEachRunner(error: string): Promise<Quarantine> {
+async function cutAtEachRunner(
+  error: string,
+  { writingForMs }: { readonly writingForMs?: number } = {},
+): Promise<{
+  readonly quarantine: Quarantine;
+  readonly partQuarantine: PartQuarantine;
+  readonly newsCount: number;
+}> {
   const logger = new Logger({});
   const directory = new RunnerDirectory(logger);
   const quarantine = new Quarantine(QUARANTINE_THRESHOLD);
+  const partQuarantine = new PartQuarantine();
+  let newsCount = 0;
+  const partEvidence = new PartEvidenceRecorder({
+    quarantine: partQuarantine,
+    onNews: () => {
+      newsCount += 1;
+    },
+    logger,
+  });
   const detector = new CrashDetector({
     directory,
     quarantine,
+    partEvidence,
     logger,
     openConnection: async () => ({ ok: false, error }),
   });
@@ -28,19 +46,33 @@
     detector.checkForCrash(runner, {
       requestId: `request-${n}`,
       fingerprint: "request",
-      sharedPartIds: [],
-      writingForMs: undefined,
+      sharedPartIds: ["part"],
+      writingForMs,
     });
   }
   await sleep(PROBED_MS);
-  return quarantine;
+  return { quarantine, partQuarantine, newsCount };
 }
 
 test("a request whose runners have closed their ports is quarantined", async () => {
-  const quarantine = await cutAtEachRunner("ECONNREFUSED");
+  const { quarantine } = await cutAtEachRunner("ECONNREFUSED");
   assert.is(quarantine.status("request").type, "quarantined");
 });
 
+test("a prompt part is quarantined, and peers told, after crashes of runners about to begin", async () => {
+  const { partQuarantine, newsCount } = await cutAtEachRunner("ECONNREFUSED");
+  assert.is(partQuarantine.status(["part"]).type, "quarantined");
+  assert.is(newsCount, QUARANTINE_THRESHOLD);
+});
+
+test("the prompt parts of a stream that had been writing are not suspected of a crash", async () => {
+  const { partQuarantine, newsCount } = await cutAtEachRunner("ECONNREFUSED", {
+    writingForMs: 2_000,
+  });
+  assert.ok(partQuarantine.isEmpty);
+  assert.is(newsCount, 0);
+});
+
 for (const error of [
   "the connection timed out",
   "ECONNRESET",
@@ -48,8 +80,9 @@
   "EMFILE",
 ]) {
   test(`runners out of reach have not crashed (${error})`, async () => {
-    const quarantine = await cutAtEachRunner(error);
+    const { quarantine, partQuarantine } = await cutAtEachRunner(error);
     assert.is(quarantine.status("request").type, "clear");
+    assert.ok(partQuarantine.isEmpty);
   });
 }
 
--- a/packages/gateway/src/relay/crash_detector.ts
+++ b/packages/gateway/src/relay/crash_detector.ts
@@ -7,6 +7,7 @@
 import { HttpConnection } from "../transport/http_connection.js";
 import type { RunnerDirectory } from "../views/runner_directory.js";
 import type { InterruptedRequest } from "./interrupted_request.js";
+import type { PartEvidenceRecorder } from "./part_evidence_recorder.js";
 
 /** Time after which a crashed process has stopped listening. */
 const PROBE_DELAY_MS = 100;
@@ -28,17 +29,20 @@
 export class CrashDetector {
   readonly #directory: RunnerDirectory;
   readonly #quarantine: Quarantine;
+  readonly #partEvidence: PartEvidenceRecorder;
   readonly #logger: Logger;
   readonly #open: OpenConnection;
 
   constructor(dependencies: {
     readonly directory: RunnerDirectory;
     readonly quarantine: Quarantine;
+    readonly partEvidence: PartEvidenceRecorder;
     readonly logger: Logger;
     readonly openConnection?: OpenConnection;
   }) {
     this.#directory = dependencies.directory;
     this.#quarantine = dependencies.quarantine;
+    this.#partEvidence = dependencies.partEvidence;
     this.#logger = dependencies.logger;
     this.#open =
       dependencies.openConnection ??
@@ -74,6 +78,7 @@
       return;
     }
     const incarnationId = toIncarnationId(runner);
+    this.#partEvidence.recordCrash(request, incarnationId);
     if (!this.#quarantine.recordLosses(fingerprint, [incarnationId])) return;
     this.#logger.warn("runner_lost", {
       request: request.requestId,
--- a/packages/gateway/src/relay/request_context.ts
+++ b/packages/gateway/src/relay/request_context.ts
@@ -19,6 +19,8 @@
    * see `Quarantine`.
    */
   readonly computeFingerprint: () => string;
+  /** Prompt parts that other requests may share. */
+  readonly sharedPartIds: readonly string[];
   readonly configVersion: number;
   /** Arrival time on the monotonic clock. */
   readonly receivedAtMs: number;
--- a/packages/gateway/src/relay/request_relay.ts
+++ b/packages/gateway/src/relay/request_relay.ts
@@ -1,11 +1,11 @@
-import type { Quarantine } from "@jujubeladder/coordination";
+import type { PartQuarantine, Quarantine } from "@jujubeladder/coordination";
 import type { Logger } from "@jujubeladder/logger";
 import type { Metrics } from "@jujubeladder/metrics";
 import { monotonicMs } from "@jujubeladder/utils";
 import { endsBeforeExit } from "../decisions/ends_before_exit.js";
 import { estimateRetryAfterMs } from "../decisions/estimate_retry_after_ms.js";
 import { FailureBlame } from "../decisions/failure_blame.js";
-import { listSharedParts } from "../decisions/list_shared_parts.js";
+import { findQuarantineRefusal } from "../decisions/find_quarantine_refusal.js";
 import type { OutlierScores } from "../decisions/outlier_scores.js";
 import { RateMeter } from "../decisions/rate_meter.js";
 import { refuseWhileStopping } from "../decisions/refuse_while_stopping.js";
@@ -20,6 +20,7 @@
 import type { InterruptedRequest } from "./interrupted_request.js";
 import { logAttempt } from "./log_attempt.js";
 import { mayRetry } from "./may_retry.js";
+import type { PartEvidenceRecorder } from "./part_evidence_recorder.js";
 import { recordStream } from "./record_stream.js";
 import type { PlacementScheduler } from "./placement_scheduler.js";
 import type { RelayProgress } from "./relay_progress.js";
@@ -60,6 +61,8 @@
   readonly outliers: OutlierScores;
   readonly retryBudget: FleetRetryBudget;
   readonly quarantine: Quarantine;
+  readonly partQuarantine: PartQuarantine;
+  readonly partEvidence: PartEvidenceRecorder;
   readonly checkForCrash: (
     runner: GatewayRunner,
     request: InterruptedRequest,
@@ -94,6 +97,10 @@
         ? new StreamSession(response, {
             tokensPerEvent: service.engine?.tokensPerEvent ?? 1,
             lastEventId: context.request.lastEventId,
+            onSurvived: (ageMs) => {
+              const { sharedPartIds } = context;
+              this.#dependencies.partEvidence.recordLived(sharedPartIds, ageMs);
+            },
           })
         : undefined;
     this.#dependencies.retryBudget.recordRequest(service.serviceId);
@@ -153,12 +160,14 @@
     }
   }
 
-  // A stream that its caller is receiving goes on for as long as it can.
-  #mayStartAttempt({ deadlineAtMs, response }: RequestContext): boolean {
-    return (
-      response.isHeadSent ||
-      endsBeforeExit(deadlineAtMs, this.#dependencies.exitAtMs())
-    );
+  // Returns why no attempt may start now. A stream that its caller is receiving
+  // goes on for as long as a stopping instance can.
+  #findObstacle(context: RequestContext): Refusal | undefined {
+    const { deadlineAtMs, response } = context;
+    const exitAtMs = this.#dependencies.exitAtMs();
+    if (!response.isHeadSent && !endsBeforeExit(deadlineAtMs, exitAtMs))
+      return refuseWhileStopping();
+    return findQuarantineRefusal(context, this.#dependencies);
   }
 
   async #findRunner(
@@ -167,7 +176,7 @@
   ): Promise<GatewayRunner | undefined> {
     const { continueAt } = progress;
     if (continueAt) return continueAt.runner;
-    if (!this.#mayStartAttempt(context)) return undefined;
+    if (this.#findObstacle(context)) return undefined;
     const { route, service, request, response } = context;
     const { scheduler, retryBudget } = this.#dependencies;
     if (progress.mayHaveExecuted && !mayRetry(route.retryPolicy))
@@ -196,8 +205,8 @@
         signal: response.cancelSignal,
       },
     );
-    // A planned stop may have begun during the wait.
-    if (!this.#mayStartAttempt(context)) return undefined;
+    // It may have come up during the wait.
+    if (this.#findObstacle(context)) return undefined;
     if (choice.type === "placed") {
       const load = scheduler.getLoad(choice.runner.runnerId);
       this.#dependencies.logger.info("placement", {
@@ -383,7 +392,7 @@
         this.#dependencies.checkForCrash(runner, {
           requestId: context.request.requestId,
           fingerprint: context.computeFingerprint(),
-          sharedPartIds: listSharedParts(context.request.work),
+          sharedPartIds: context.sharedPartIds,
           writingForMs: session?.writingForMs,
         });
         progress.executionCount += 1;
@@ -442,9 +451,9 @@
     }
     if (progress.lastFailure)
       return this.#deliver(context, progress.lastFailure);
-    if (!progress.mayHaveExecuted && !this.#mayStartAttempt(context))
-      return refuse(refuseWhileStopping());
     if (!progress.mayHaveExecuted) {
+      const obstacle = this.#findObstacle(context);
+      if (obstacle) return refuse(obstacle);
       const retryAfterMs = estimateRetryAfterMs({
         queuedCount: this.#dependencies.scheduler.queuedCount,
         freedSlotsPerSecond: this.#sendRate.perSecond,
--- a/packages/gateway/src/relay/stream_session.ts
+++ b/packages/gateway/src/relay/stream_session.ts
@@ -1,4 +1,5 @@
 import { monotonicMs } from "@jujubeladder/utils";
+import { PROMPT_SURVIVAL_MS } from "../decisions/prompt_survival_ms.js";
 import type { Placement } from "../decisions/placement.js";
 import type { RunnerResponse } from "../model/runner_response.js";
 import type { CallerResponse } from "./caller_response.js";
@@ -16,6 +17,8 @@
   #eventCount = 0;
   #firstEventAtMs: number | undefined;
   #runFirstEventAtMs: number | undefined;
+  #hasSurvived = false;
+  readonly #onSurvived: (ageMs: number) => void;
   #lastEventAtMs: number | undefined;
   #longestGapMs = 0;
   #head: RunnerResponse | undefined;
@@ -26,11 +29,14 @@
     options: {
       readonly tokensPerEvent: number;
       readonly lastEventId: number | undefined;
+      /** Called once a run that began `ageMs` ago has survived its prompt. */
+      readonly onSurvived: (ageMs: number) => void;
     },
   ) {
     this.#response = response;
     this.#tokensPerEvent = options.tokensPerEvent;
     this.#lastEventId = options.lastEventId;
+    this.#onSurvived = options.onSurvived;
   }
 
   /**
@@ -67,6 +73,7 @@
   setPlacement(placement: Placement): void {
     this.#placement = placement;
     this.#runFirstEventAtMs = undefined;
+    this.#hasSurvived = false;
     if (this.#eventCount > 0) this.#recordOutput();
   }
 
@@ -89,6 +96,8 @@
     this.#firstEventAtMs ??= nowMs;
     this.#runFirstEventAtMs ??= nowMs;
     this.#lastEventAtMs = nowMs;
+    if (nowMs - this.#runFirstEventAtMs >= PROMPT_SURVIVAL_MS)
+      this.#recordSurvival(nowMs);
     this.#recordOutput();
     // The head is sent with the first event, so that a run that fails before
     // it can still be retried or answered with an error status.
@@ -108,11 +117,18 @@
   end(lastHead: RunnerResponse | undefined): boolean {
     const isEndAmbiguous = lastHead?.endsWithConnection ?? false;
     if (isEndAmbiguous && !this.#head?.endsWithConnection) return false;
+    this.#recordSurvival(monotonicMs());
     this.#sendHeadOnce();
     this.#response.end();
     return true;
   }
 
+  #recordSurvival(nowMs: number): void {
+    if (this.#hasSurvived || this.#runFirstEventAtMs === undefined) return;
+    this.#hasSurvived = true;
+    this.#onSurvived(nowMs - this.#runFirstEventAtMs);
+  }
+
   #sendHeadOnce(): void {
     if (this.#response.isHeadSent || !this.#head) return;
     const { statusCode, forwardedHeaders } = this.#head;
--- a/packages/gateway/src/server/admit_request.ts
+++ b/packages/gateway/src/server/admit_request.ts
@@ -1,8 +1,10 @@
-import type { Quarantine } from "@jujubeladder/coordination";
+import type { PartQuarantine, Quarantine } from "@jujubeladder/coordination";
 import type { Result } from "@jujubeladder/types";
 import { computeFingerprint } from "@jujubeladder/utils";
+import { findQuarantineRefusal } from "../decisions/find_quarantine_refusal.js";
 import { findRoute } from "../decisions/find_route.js";
 import { endsBeforeExit } from "../decisions/ends_before_exit.js";
+import { listSharedParts } from "../decisions/list_shared_parts.js";
 import { pickService } from "../decisions/pick_service.js";
 import { refuseWhileStopping } from "../decisions/refuse_while_stopping.js";
 import type { CallerRequest } from "../model/caller_request.js";
@@ -15,13 +17,12 @@
 const OTHER_INSTANCE_RETRY_MS = 150;
 /** A missing configuration arrives with the next response of the store. */
 const NO_CONFIG_RETRY_MS = 500;
-/** Leaves callers time to change a request that crashes runners. */
-const QUARANTINED_RETRY_MS = 1_000;
 
 /** State that admission decisions depend on. */
 interface AdmissionDependencies {
   readonly activeConfig: ActiveConfig;
   readonly quarantine: Quarantine;
+  readonly partQuarantine: PartQuarantine;
   /**
    * API keys are rejected if the configuration was last confirmed longer ago
    * than this; undefined sets no limit.
@@ -47,8 +48,7 @@
   },
   dependencies: AdmissionDependencies,
 ): Result<RequestContext, Refusal> {
-  const { activeConfig, quarantine, maxKeyConfigAgeMs, exitAtMs } =
-    dependencies;
+  const { activeConfig, maxKeyConfigAgeMs, exitAtMs } = dependencies;
   if (!activeConfig.config) {
     return notRun("no configuration yet", NO_CONFIG_RETRY_MS);
   }
@@ -75,17 +75,17 @@
   if (!endsBeforeExit(deadlineAtMs, exitAtMs())) {
     return { ok: false, error: refuseWhileStopping() };
   }
-  const fingerprintRequest = () =>
+  const computeRequestFingerprint = () =>
     computeFingerprint(
       team?.teamId ?? "",
       `${request.method} ${request.target}\n${received.body.toString("latin1")}`,
     );
-  if (
-    !quarantine.isEmpty &&
-    quarantine.status(fingerprintRequest()).type === "quarantined"
-  ) {
-    return notRun("it has crashed several runners", QUARANTINED_RETRY_MS);
-  }
+  const sharedPartIds = listSharedParts(request.work);
+  const quarantined = findQuarantineRefusal(
+    { computeFingerprint: computeRequestFingerprint, sharedPartIds },
+    dependencies,
+  );
+  if (quarantined) return { ok: false, error: quarantined };
   return {
     ok: true,
     value: {
@@ -94,7 +94,8 @@
       route,
       service,
       team,
-      computeFingerprint: fingerprintRequest,
+      computeFingerprint: computeRequestFingerprint,
+      sharedPartIds,
       priority: team?.priority ?? route.priority,
       configVersion: activeConfig.version,
       deadlineAtMs,
--- a/packages/gateway/src/server/caller_server.ts
+++ b/packages/gateway/src/server/caller_server.ts
@@ -6,7 +6,7 @@
   type ServerResponse,
 } from "node:http";
 import type { Socket } from "node:net";
-import type { Quarantine } from "@jujubeladder/coordination";
+import type { PartQuarantine, Quarantine } from "@jujubeladder/coordination";
 import type { Logger } from "@jujubeladder/logger";
 import type { Metrics } from "@jujubeladder/metrics";
 import { monotonicMs } from "@jujubeladder/utils";
@@ -49,6 +49,7 @@
   readonly activeConfig: ActiveConfig;
   readonly relay: RequestRelay;
   readonly quarantine: Quarantine;
+  readonly partQuarantine: PartQuarantine;
   /**
    * API keys are rejected if the configuration was last confirmed longer ago
    * than this; undefined sets no limit.
--- a/packages/gateway/src/server/gateway_instance.ts
+++ b/packages/gateway/src/server/gateway_instance.ts
@@ -2,6 +2,7 @@
 import type { Http2Server } from "node:http2";
 import {
   PeerDatagrams,
+  PartQuarantine,
   PeerDirectory,
   Quarantine,
   servePeers,
@@ -27,6 +28,7 @@
 import type { MetadataStore } from "../model/metadata_store.js";
 import { LeavePoller } from "../relay/leave_poller.js";
 import { CrashDetector } from "../relay/crash_detector.js";
+import { PartEvidenceRecorder } from "../relay/part_evidence_recorder.js";
 import { PlacementScheduler } from "../relay/placement_scheduler.js";
 import { RequestRelay } from "../relay/request_relay.js";
 import { RunMigrator } from "../relay/run_migrator.js";
@@ -99,6 +101,14 @@
     this.#directory = new RunnerDirectory(logger);
     const outliers = new OutlierScores();
     const quarantine = new Quarantine(QUARANTINE_THRESHOLD);
+    const partQuarantine = new PartQuarantine();
+    const partEvidence = new PartEvidenceRecorder({
+      quarantine: partQuarantine,
+      onNews: () => {
+        this.#membership.spread();
+      },
+      logger,
+    });
     const ownAddress = `${settings.peers.host}:${settings.peers.port}`;
     this.#roster = new PeerRoster(ownAddress, settings.seeds);
     const loadTracker = new LoadTracker(() => this.#roster.countByRegion());
@@ -129,11 +139,13 @@
       peerDatagrams: this.#peerDatagrams,
       loadTracker,
       quarantine,
+      partEvidence: partQuarantine,
       logger,
     });
     const crashDetector = new CrashDetector({
       directory: this.#directory,
       quarantine,
+      partEvidence,
       logger,
     });
     const { availabilityZone, region } = settings;
@@ -178,6 +190,8 @@
         Math.max(MIN_FLEET_SIZE, this.#roster.peakInstanceCount),
       ),
       quarantine,
+      partQuarantine,
+      partEvidence,
       checkForCrash: (runner, request) => {
         crashDetector.checkForCrash(runner, request);
       },
@@ -191,6 +205,7 @@
       activeConfig: this.#activeConfig,
       relay,
       quarantine,
+      partQuarantine,
       maxKeyConfigAgeMs: settings.maxKeyConfigAgeMs,
       exitAtMs,
       metrics: this.#metrics,
