--- a/packages/gateway/src/relay/crash_detector.ts
+++ b/packages/gateway/src/relay/crash_detector.ts
@@ -6,6 +6,8 @@
 import { toIncarnationId } from "../model/to_incarnation_id.js";
 import { HttpConnection } from "../transport/http_connection.js";
 import type { RunnerDirectory } from "../views/runner_directory.js";
+import type { InterruptedRequest } from "./interrupted_request.js";
+import type { PartEvidenceRecorder } from "./part_evidence_recorder.js";
 
 /** Time after which a crashed process has stopped listening. */
 const PROBE_DELAY_MS = 100;
@@ -27,17 +29,20 @@
 export class CrashDetector {
   readonly #directory: RunnerDirectory;
   readonly #quarantine: Quarantine;
+  readonly #partEvidence: PartEvidenceRecorder;
   readonly #logger: Logger;
   readonly #open: OpenConnection;
 
   constructor(dependencies: {
     readonly directory: RunnerDirectory;
     readonly quarantine: Quarantine;
+    readonly partEvidence: PartEvidenceRecorder;
     readonly logger: Logger;
     readonly openConnection?: OpenConnection;
   }) {
     this.#directory = dependencies.directory;
     this.#quarantine = dependencies.quarantine;
+    this.#partEvidence = dependencies.partEvidence;
     this.#logger = dependencies.logger;
     this.#open =
       dependencies.openConnection ??
@@ -45,12 +50,16 @@
   }
 
   /** Probes a runner whose response to the request was cut off. */
-  checkForCrash(runner: GatewayRunner, fingerprint: string): void {
+  checkForCrash(runner: GatewayRunner, request: InterruptedRequest): void {
     if (this.#directory.isLeaving(runner.runnerId)) return;
-    void this.#probe(runner, fingerprint);
+    void this.#probe(runner, request);
   }
 
-  async #probe(runner: GatewayRunner, fingerprint: string): Promise<void> {
+  async #probe(
+    runner: GatewayRunner,
+    request: InterruptedRequest,
+  ): Promise<void> {
+    const { fingerprint } = request;
     await sleep(PROBE_DELAY_MS);
     const opened = await this.#open(
       { host: runner.host, port: runner.port },
@@ -69,10 +78,15 @@
       return;
     }
     const incarnationId = toIncarnationId(runner);
+    this.#partEvidence.recordCrash(request, incarnationId);
     if (!this.#quarantine.recordLosses(fingerprint, [incarnationId])) return;
     this.#logger.warn("runner_lost", {
+      request: request.requestId,
       runner: runner.runnerId,
+      incarnation: incarnationId,
       fingerprint,
+      parts: request.sharedPartIds.join(",") || undefined,
+      writing_for_ms: request.writingForMs,
       reason: opened.error,
       suspicion: this.#quarantine.status(fingerprint).type,
     });
--- a/packages/gateway/src/relay/stream_session.ts
+++ b/packages/gateway/src/relay/stream_session.ts
@@ -1,4 +1,5 @@
 import { monotonicMs } from "@jujubeladder/utils";
+import { PROMPT_SURVIVAL_MS } from "../decisions/prompt_survival_ms.js";
 import type { Placement } from "../decisions/placement.js";
 import type { RunnerResponse } from "../model/runner_response.js";
 import type { CallerResponse } from "./caller_response.js";
@@ -15,6 +16,9 @@
   #lastEventId: number | undefined;
   #eventCount = 0;
   #firstEventAtMs: number | undefined;
+  #runFirstEventAtMs: number | undefined;
+  #hasSurvived = false;
+  readonly #onSurvived: (ageMs: number) => void;
   #lastEventAtMs: number | undefined;
   #longestGapMs = 0;
   #head: RunnerResponse | undefined;
@@ -25,11 +29,14 @@
     options: {
       readonly tokensPerEvent: number;
       readonly lastEventId: number | undefined;
+      /** Called once a run that began `ageMs` ago has survived its prompt. */
+      readonly onSurvived: (ageMs: number) => void;
     },
   ) {
     this.#response = response;
     this.#tokensPerEvent = options.tokensPerEvent;
     this.#lastEventId = options.lastEventId;
+    this.#onSurvived = options.onSurvived;
   }
 
   /**
@@ -55,9 +62,18 @@
     return this.#longestGapMs;
   }
 
-  /** Sets the placement that further output is recorded on. */
+  /** Time from the current run's first to its last event, if it has any. */
+  get writingForMs(): number | undefined {
+    return this.#runFirstEventAtMs === undefined
+      ? undefined
+      : (this.#lastEventAtMs ?? 0) - this.#runFirstEventAtMs;
+  }
+
+  /** Begins a run, whose output is recorded on the placement. */
   setPlacement(placement: Placement): void {
     this.#placement = placement;
+    this.#runFirstEventAtMs = undefined;
+    this.#hasSurvived = false;
     if (this.#eventCount > 0) this.#recordOutput();
   }
 
@@ -78,7 +94,10 @@
     const gapMs = nowMs - (this.#lastEventAtMs ?? nowMs);
     this.#longestGapMs = Math.max(this.#longestGapMs, gapMs);
     this.#firstEventAtMs ??= nowMs;
+    this.#runFirstEventAtMs ??= nowMs;
     this.#lastEventAtMs = nowMs;
+    if (nowMs - this.#runFirstEventAtMs >= PROMPT_SURVIVAL_MS)
+      this.#recordSurvival(nowMs);
     this.#recordOutput();
     // The head is sent with the first event, so that a run that fails before
     // it can still be retried or answered with an error status.
@@ -98,11 +117,18 @@
   end(lastHead: RunnerResponse | undefined): boolean {
     const isEndAmbiguous = lastHead?.endsWithConnection ?? false;
     if (isEndAmbiguous && !this.#head?.endsWithConnection) return false;
+    this.#recordSurvival(monotonicMs());
     this.#sendHeadOnce();
     this.#response.end();
     return true;
   }
 
+  #recordSurvival(nowMs: number): void {
+    if (this.#hasSurvived || this.#runFirstEventAtMs === undefined) return;
+    this.#hasSurvived = true;
+    this.#onSurvived(nowMs - this.#runFirstEventAtMs);
+  }
+
   #sendHeadOnce(): void {
     if (this.#response.isHeadSent || !this.#head) return;
     const { statusCode, forwardedHeaders } = this.#head;
