Guard a shared first part against two deadly parts behind it

Ruled out: recording lives only while a loss is known.

Change: a unit test, and the condition in the comment of recordLived.

Measured: the test fails with parts ordered by losses alone, and passes now; 41 unit and model tests pass.

--- a/packages/coordination/src/__tests__/part_quarantine.test.ts
+++ b/packages/coordination/src/__tests__/part_quarantine.test.ts
@@ -142,6 +142,19 @@
   assert.is(statusOf(quarantine, "first"), "clear");
 });
 
+test("a first part that lived is not convicted in place of two deadly parts", () => {
+  const { clocks, quarantine } = create();
+  quarantine.recordLived(["first"]);
+  clocks.advance(100);
+  for (const n of [1, 2, 3, 4]) {
+    quarantine.recordLoss(["first", "deadly-1"], `a${n}`);
+    quarantine.recordLoss(["first", "deadly-2"], `b${n}`);
+  }
+  assert.is(statusOf(quarantine, "first", "deadly-1"), "quarantined");
+  assert.is(statusOf(quarantine, "first", "deadly-2"), "quarantined");
+  assert.is(statusOf(quarantine, "first", "other"), "clear");
+});
+
 test("innocent parts that waited on crashed engines are explained", () => {
   const { quarantine } = create();
   for (const id of ["e1", "e2", "e3", "e4"])
--- a/packages/coordination/src/part_quarantine.ts
+++ b/packages/coordination/src/part_quarantine.ts
@@ -79,7 +79,8 @@
 
   /**
    * Records that a request with these parts began `ageMs` ago and its runner
-   * lived on. Returns true if that changes the status of a part.
+   * lived on. To be called while nothing is recorded, too: parts known to have
+   * lived are judged less strictly. Returns true if a part's status changes.
    */
   recordLived(partIds: readonly string[], ageMs = 0): boolean {
     const now = this.#readClocks();
