Keep serving after a hangup

What callers saw: SIGHUP, as sent by a closed terminal or a supervisor's reload, ended the daemon at once, and all that ran was cut.

Cause: no listener, and the default action ends the process. Ruled out: a second SIGTERM or a SIGINT during a stop join it, as before.

Change: a listener that does nothing. Settings come from flags and the environment, so that there is nothing to read again.

--- a/packages/jujubeladder/src/commands/run_entry.ts
+++ b/packages/jujubeladder/src/commands/run_entry.ts
@@ -20,6 +20,8 @@
   };
   process.on("SIGTERM", stop);
   process.on("SIGINT", stop);
+  // Without a listener, a hangup ends the process and cuts what runs.
+  process.on("SIGHUP", () => undefined);
   try {
     await instance.start();
   } catch (error) {
