Serve what arrives on kept connections until the daemon exits

What callers saw: a request on a connection opened before the stop reached a runner and was cut when the daemon exited, without an answer.

Cause: answers while leaving left their connections open, and the daemon waited for active requests only before the handoff of tickets. What came in the second that it lingers after that was cut. Ruled out: answers that are written but not flushed count as active until they are sent (test with a slow reader).

Change: from SIGTERM on each answer closes its connection, unless its head has been sent, and the daemon waits for active requests again before it closes. The drain ends, since each kept connection carries one more request at most.

--- a/packages/jujubeladder/src/entry/entry_instance.ts
+++ b/packages/jujubeladder/src/entry/entry_instance.ts
@@ -21,6 +21,7 @@
 import { PlainRelay } from "../relay/plain_relay.js";
 import { RunnerMonitor } from "../relay/runner_monitor.js";
 import type { EntrySettings } from "../settings/entry_settings.js";
+import { ActiveResponses } from "./active_responses.js";
 import { createOrderReconciler } from "./create_order_reconciler.js";
 import { describeStatus } from "./describe_status.js";
 import { EntryCoordination } from "./entry_coordination.js";
@@ -55,7 +56,7 @@
   #adminServer: Server | undefined;
   #peerServer: Http2Server | undefined;
   #isReady = false;
-  #activeRequests = 0;
+  readonly #responses = new ActiveResponses();
 
   constructor(settings: EntrySettings) {
     this.#settings = settings;
@@ -123,10 +124,7 @@
     await this.#waitForInitialState();
     this.#callerServer = await serve(
       (req, res) => {
-        this.#activeRequests += 1;
-        res.on("close", () => {
-          this.#activeRequests -= 1;
-        });
+        this.#responses.add(res);
         app(req, res);
       },
       { host, port: callerPort },
@@ -143,16 +141,19 @@
   /** Drains requests, hands the tickets off to a successor, and stops. */
   async stop(): Promise<void> {
     this.#isReady = false;
-    this.#logger.info("leaving");
+    this.#logger.info("leaving", { active: this.#responses.count });
+    this.#responses.leave();
     await this.#coordination.membership.leave();
     await sleep(this.#settings.acceptWhileLeavingMs);
     this.#callerServer?.close();
-    while (this.#activeRequests > 0) await sleep(DRAIN_POLL_MS);
+    await this.#drainRequests();
     while (this.#coordination.owner.activeRuns.length > 0) {
       await sleep(DRAIN_POLL_MS);
     }
     await this.#coordination.handoff.run();
     await sleep(SHUTDOWN_LINGER_MS);
+    // Callers may still have sent requests on connections that they keep.
+    await this.#drainRequests();
     this.#stopController.abort();
     this.#callerServer?.closeAllConnections();
     this.#adminServer?.close();
@@ -163,6 +164,10 @@
     this.#logger.info("stopped");
   }
 
+  async #drainRequests(): Promise<void> {
+    while (this.#responses.count > 0) await sleep(DRAIN_POLL_MS);
+  }
+
   #createMonitor(): RunnerMonitor {
     return new RunnerMonitor({
       listView: this.#views.instanceList,
@@ -272,7 +277,7 @@
       coordination: this.#coordination,
       monitor: this.#monitor,
       isReady: this.#isReady,
-      activeRequests: this.#activeRequests,
+      activeRequests: this.#responses.count,
     });
   }
 }
