Keep idle connections when the daemon stops accepting

What callers saw: a request on a kept connection, sent as the daemon stopped accepting, was reset without an answer; its caller cannot know that it has not run.

Cause: Server.close of node:http also destroys idle connections, however recently they were used and whatever is on its way. Change: only the listening socket is closed. Connections end with their next answer, or at the exit.

Open: connections that the kernel holds and the daemon has not accepted yet are reset when the listening socket closes.

Measured: the test of a kept connection fails with Server.close (mutation) and passes with this change; all eight of planned_stop pass.

--- a/packages/jujubeladder/src/entry/entry_instance.ts
+++ b/packages/jujubeladder/src/entry/entry_instance.ts
@@ -30,6 +30,7 @@
 import { explainPlacement } from "./explain_placement.js";
 import type { Explanation } from "./explanation.js";
 import { serve } from "./serve.js";
+import { stopListening } from "./stop_listening.js";
 
 const HANDLE_PURPOSE = "stream handle";
 const READY_POLL_MS = 50;
@@ -145,7 +146,7 @@
     this.#responses.leave();
     await this.#coordination.membership.leave();
     await sleep(this.#settings.acceptWhileLeavingMs);
-    this.#callerServer?.close();
+    if (this.#callerServer) stopListening(this.#callerServer);
     await this.#drainRequests();
     while (this.#coordination.owner.activeRuns.length > 0) {
       await sleep(DRAIN_POLL_MS);
