Read the product's instance list around its odd entries

One instance or runner with a port out of range, a host that is none or a field of another type made the whole list unreadable: every entry instance kept the list that it had, for as long as the entry was there. Ports of 99999 and hosts that are none were taken, which ended the process in gossip. Entries are parsed one by one; what is left out is logged once a list (instance_list_entries_refused). All instances leave out the same, so that owners by hash of the list stay agreed.

--- a/packages/configuration/src/mod.ts
+++ b/packages/configuration/src/mod.ts
@@ -3,7 +3,6 @@
 export type { ConfigError } from "./config_error.js";
 export { ConfigView } from "./config_view.js";
 export { findConfigWarnings } from "./find_config_warnings.js";
-export { instanceListSchema } from "./instance_list_schema.js";
 export { InstanceListView } from "./instance_list_view.js";
 export { parseConfigDocument } from "./parse_config_document.js";
 export { PlatformClient } from "./platform_client.js";
--- a/packages/configuration/src/platform_client.ts
+++ b/packages/configuration/src/platform_client.ts
@@ -1,7 +1,7 @@
 import type { InstanceList, Result } from "@jujubeladder/types";
 import { readBody, SingleUseClient } from "@jujubeladder/upstream";
 import { describeError } from "@jujubeladder/utils";
-import { instanceListSchema } from "./instance_list_schema.js";
+import { parseInstanceList } from "./parse_instance_list.js";
 
 /** Timeout for the head, on top of the long-poll wait, and for body data. */
 const RESPONSE_TIMEOUT_MS = 2_000;
@@ -33,18 +33,32 @@
     return await this.#watch(path, signal);
   }
 
-  /** Long poll for a list whose version differs from the known one. */
+  /**
+   * Long poll for a list whose version differs from the known one; `refused`
+   * says which of its entries are left out, and why.
+   */
   async watchInstances(
     knownVersion: number,
     signal: AbortSignal,
-  ): Promise<Result<WatchResult<InstanceList>, string>> {
+  ): Promise<
+    Result<
+      WatchResult<{
+        readonly list: InstanceList;
+        readonly refused: readonly string[];
+      }>,
+      string
+    >
+  > {
     const path = `/v1/instances?known_version=${knownVersion}`;
     const watched = await this.#watch(path, signal);
     if (!watched.ok) return watched;
     if (watched.value.type === "unchanged") {
       return { ok: true, value: watched.value };
     }
-    return parseInstanceList(watched.value.value);
+    const parsed = parseInstanceList(watched.value.value);
+    return parsed.ok
+      ? { ok: true, value: { type: "changed", value: parsed.value } }
+      : parsed;
   }
 
   /** Ends all calls. */
@@ -87,14 +101,3 @@
     }
   }
 }
-
-function parseInstanceList(
-  text: string,
-): Result<WatchResult<InstanceList>, string> {
-  try {
-    const value = instanceListSchema.parse(JSON.parse(text));
-    return { ok: true, value: { type: "changed", value } };
-  } catch (error) {
-    return { ok: false, error: describeError(error) };
-  }
-}
--- a/packages/configuration/src/watch_instances.ts
+++ b/packages/configuration/src/watch_instances.ts
@@ -28,7 +28,15 @@
     }
     failures = 0;
     if (watched.value.type === "changed") {
-      view.replace(watched.value.value, monotonicMs());
+      const { list, refused } = watched.value.value;
+      view.replace(list, monotonicMs());
+      if (refused.length > 0) {
+        logger.warn("instance_list_entries_refused", {
+          version: list.version,
+          count: refused.length,
+          first: refused[0],
+        });
+      }
       logger.info("instance_list_read", {
         version: view.list.version,
         instances: view.list.instances.length,
