Heed Server-Leaving in every response of a runner

What callers would see: requests sent to a runner that has said it is leaving, and streams cut when it exits.

Cause: the header was not read. A leaving runner became known by its entry in the store, a peer, or (while the store was out) the body of a report only, so that an instance cut off from the store went on using it, and the header was passed on to callers.

Ruled out: marks of leaving runners did reach peers and hold against later updates; but a mark ended after 60 s even if a stale list still called the incarnation ready (new test in views).

Change: the head of a response that belongs to the request it was sent for, or is a refusal which no earlier request can have caused, marks the incarnation that the request was placed on as it arrives. So do the responses to copy orders and polls. A 421 and informational responses don't count. Idle connections to the runner are closed, its streams move from that moment, the mark lasts while the incarnation is listed, and runner_leaving says cause and age. RunnerNotices is the one place that heeds notices.

--- a/packages/gateway/src/__tests__/run_migration.test.ts
+++ b/packages/gateway/src/__tests__/run_migration.test.ts
@@ -88,6 +88,7 @@
           held.add(outcome.handle);
         return outcome;
       },
+      onNotice: () => undefined,
       readReport: () => Promise.resolve({ isLeaving: true }),
       dropCopy: ({ handle }) => {
         held.delete(handle);
--- a/packages/gateway/src/__tests__/views.test.ts
+++ b/packages/gateway/src/__tests__/views.test.ts
@@ -40,6 +40,22 @@
   );
 });
 
+test("a leaving runner that stays listed as live is not used again later", () => {
+  const { now } = performance;
+  try {
+    const directory = new RunnerDirectory(LOGGER);
+    directory.put(createRunner("a"));
+    directory.put(createRunner("b"));
+    directory.markLeaving(toIncarnationId(createRunner("a")), "answer");
+    performance.now = () => now.call(performance) + 61_000;
+    directory.markLeaving("another@1", "peer");
+    directory.put(createRunner("a"));
+    assert.equal(listIds(directory), ["b"]);
+  } finally {
+    performance.now = now;
+  }
+});
+
 test("entries that expired during a store outage are retained for 2 s", async () => {
   const directory = new RunnerDirectory(LOGGER);
   directory.put(createRunner("a"));
--- a/packages/gateway/src/model/engine_control.ts
+++ b/packages/gateway/src/model/engine_control.ts
@@ -2,9 +2,19 @@
 import type { EngineReport } from "./engine_report.js";
 import type { GatewayRunner } from "./gateway_runner.js";
 import type { KvCacheRef } from "./kv_cache_ref.js";
+import type { NoticeOrigin } from "./notice_origin.js";
+import type { RunnerNotice } from "./runner_notice.js";
 
 /** Control operations of model engines. */
 export interface EngineControl {
+  /** Calls the listener for each response of an engine to an order or poll. */
+  onNotice(
+    listener: (
+      runner: GatewayRunner,
+      notice: RunnerNotice,
+      origin: NoticeOrigin,
+    ) => void,
+  ): void;
   /**
    * Copies the KV cache of a run on `source` to `target`. With `isFinal` the
    * run stops first and its stream ends early.
--- /dev/null
+++ b/packages/gateway/src/model/runner_notice.ts
@@ -0,0 +1,4 @@
+/** What a runner says of itself in the head of a response. */
+export interface RunnerNotice {
+  readonly isLeaving: boolean;
+}
--- a/packages/gateway/src/model/runner_response.ts
+++ b/packages/gateway/src/model/runner_response.ts
@@ -1,3 +1,5 @@
+import type { RunnerNotice } from "./runner_notice.js";
+
 /** The decoded head of a runner's response. */
 export interface RunnerResponse {
   readonly statusCode: number;
@@ -5,6 +7,7 @@
   readonly requestId?: string | undefined;
   /** Whether the runner states that it did not execute the request. */
   readonly execution: "executed" | "not_executed" | "wrong_runner";
+  readonly notice: RunnerNotice;
   /** A success without the runner's signature did not come from the runner. */
   readonly isSigned: boolean;
   /** The body has a content encoding, which callers did not request. */
--- a/packages/gateway/src/relay/request_relay.ts
+++ b/packages/gateway/src/relay/request_relay.ts
@@ -25,6 +25,7 @@
 import { runAttempt } from "./run_attempt.js";
 import type { RunMigration } from "./run_migration.js";
 import type { RunMigrator } from "./run_migrator.js";
+import type { RunnerNotices } from "./runner_notices.js";
 import { StreamSession } from "./stream_session.js";
 
 /** Connecting takes one round trip, which is under 100 ms between regions. */
@@ -54,6 +55,7 @@
   readonly pool: ConnectionPool;
   readonly scheduler: PlacementScheduler;
   readonly migrator: RunMigrator;
+  readonly notices: RunnerNotices;
   readonly directory: RunnerDirectory;
   readonly outliers: OutlierScores;
   readonly retryBudget: FleetRetryBudget;
@@ -222,7 +224,7 @@
   ): Promise<AttemptOutcome> {
     const { runner, progress } = plan;
     const { request, route, service } = context;
-    const { scheduler, pool, codec, directory } = this.#dependencies;
+    const { scheduler, pool, codec, directory, notices } = this.#dependencies;
     const placement = scheduler.reserve(runner.runnerId, request.work);
     session?.setPlacement(placement);
     const migration = this.#dependencies.migrator.track(context, runner);
@@ -256,6 +258,7 @@
         connection.close();
         return { type: "timed_out" };
       }
+      const sentAtMs = monotonicMs();
       progress.sendCount += 1;
       this.#sendRate.record();
       migration?.onCloseSource(() => {
@@ -285,6 +288,10 @@
         remainingMs: leftMs,
         firstByteTimeoutMs: this.#firstByteTimeoutMs(context, progress),
         receiver: session,
+        onOwnHead: ({ notice, execution }) => {
+          const source = execution === "executed" ? "answer" : "refusal";
+          notices.heed(runner, notice, { source, sentAtMs });
+        },
       });
       const isGivenUp =
         received.type === "caller_left" &&
@@ -293,7 +300,9 @@
         ? ({ type: "given_up" } as const)
         : rejectAmbiguousEnd(received, migration);
       progress.lastConnection = ended;
-      if (head?.isClosing && head.execution !== "wrong_runner") {
+      const isClosing =
+        head?.isClosing === true || directory.isLeaving(runner.runnerId);
+      if (isClosing && head?.execution !== "wrong_runner") {
         connection.close();
       } else if (outcome.type === "answered" || outcome.type === "streamed") {
         pool.release(runner.runnerId, connection, head?.keepAliveMs);
--- a/packages/gateway/src/relay/run_attempt.ts
+++ b/packages/gateway/src/relay/run_attempt.ts
@@ -4,6 +4,7 @@
 import type { HttpConnection } from "../transport/http_connection.js";
 import type { AttemptConnection } from "./attempt_connection.js";
 import type { AttemptOutcome } from "./attempt_outcome.js";
+import { belongsToRequest } from "./belongs_to_request.js";
 import { EventSplitter } from "./event_splitter.js";
 import type { StreamReceiver } from "./stream_receiver.js";
 
@@ -25,6 +26,8 @@
   readonly remainingMs: number;
   /** Timeout for the response head or, for a stream, the first event. */
   readonly firstByteTimeoutMs?: number | undefined;
+  /** Called for a head that belongs to the request, before its body. */
+  readonly onOwnHead?: ((head: RunnerResponse) => void) | undefined;
   /** Receives a stream's events; absent if no stream is expected. */
   readonly receiver?: StreamReceiver | undefined;
 }
@@ -111,6 +114,8 @@
     const exchange = connection.send(options, {
       onHead: (statusCode, headers) => {
         head = options.codec.decodeResponse(statusCode, headers);
+        if (belongsToRequest(head, options.requestId, connection))
+          options.onOwnHead?.(head);
         const error = findResponseError(head, options.requestId, connection);
         if (error) {
           settle({ type: "broken", reason: error });
--- a/packages/gateway/src/server/gateway_instance.ts
+++ b/packages/gateway/src/server/gateway_instance.ts
@@ -30,6 +30,7 @@
 import { PlacementScheduler } from "../relay/placement_scheduler.js";
 import { RequestRelay } from "../relay/request_relay.js";
 import { RunMigrator } from "../relay/run_migrator.js";
+import { RunnerNotices } from "../relay/runner_notices.js";
 import { ConnectionPool } from "../transport/connection_pool.js";
 import { ActiveConfig } from "../views/active_config.js";
 import { syncConfig } from "../views/sync_config.js";
@@ -172,6 +173,12 @@
       pool: this.#pool,
       scheduler,
       migrator,
+      notices: new RunnerNotices({
+        directory: this.#directory,
+        control,
+        pool: this.#pool,
+        metrics: this.#metrics,
+      }),
       directory: this.#directory,
       outliers,
       retryBudget: new FleetRetryBudget(settings.retry, () =>
--- a/packages/gateway/src/transport/connection_pool.ts
+++ b/packages/gateway/src/transport/connection_pool.ts
@@ -60,6 +60,13 @@
     this.#idle.set(runnerId, idle);
   }
 
+  /** Closes the idle connections to one runner. */
+  closeIdleOf(runnerId: string): void {
+    for (const { connection } of this.#idle.get(runnerId) ?? [])
+      connection.close();
+    this.#idle.delete(runnerId);
+  }
+
   /** Closes connections whose idle time has run out. */
   closeIdle(): void {
     for (const [runnerId, idle] of this.#idle) {
--- a/packages/gateway/src/transport/send_and_buffer.ts
+++ b/packages/gateway/src/transport/send_and_buffer.ts
@@ -2,6 +2,7 @@
 import type { ByteBudget } from "@jujubeladder/utils";
 import { ByteCollector } from "./byte_collector.js";
 import type { HttpConnection } from "./http_connection.js";
+import type { ResponseSink } from "./response_sink.js";
 
 /** A response with its body buffered. */
 interface BufferedResponse {
@@ -25,6 +26,8 @@
     readonly maxBodyBytes: number;
     /** Memory for the body; that of the runners' responses if absent. */
     readonly memory?: ByteBudget;
+    /** Called as soon as the head has arrived. */
+    readonly onHead?: ResponseSink["onHead"];
   },
 ): Promise<Result<BufferedResponse, string>> {
   return await new Promise((resolve) => {
@@ -42,8 +45,9 @@
       settle({ ok: false, error: "the call timed out" });
     }, call.timeoutMs);
     connection.send(call, {
-      onHead: (status) => {
+      onHead: (status, headers) => {
         statusCode = status;
+        if (!isSettled) call.onHead?.(status, headers);
       },
       onData: (chunk) => {
         if (isSettled) return true;
--- a/packages/gateway/src/views/runner_directory.ts
+++ b/packages/gateway/src/views/runner_directory.ts
@@ -13,13 +13,14 @@
 const LEAVING_RETENTION_MS = 60_000;
 
 /** How it became known that a runner is leaving. */
-type LeavingCause = "listed" | "removed" | "answer" | "peer" | "report";
+type LeavingCause =
+  "listed" | "removed" | "answer" | "refusal" | "order" | "report" | "peer";
 
 /**
  * The known runners, and which of them are leaving. Once an incarnation of a
  * runner (one start of its process) is marked as leaving, whichever source
- * reported it, no update reverts that; the mark itself is retained for
- * `LEAVING_RETENTION_MS`.
+ * reported it, no update reverts that. The mark is retained for as long as the
+ * incarnation is listed, and at least for `LEAVING_RETENTION_MS`.
  */
 export class RunnerDirectory {
   readonly events = new Emittery<{
@@ -117,8 +118,15 @@
     }
   }
 
-  /** Marks one incarnation of a runner as leaving; see `toIncarnationId`. */
-  markLeaving(incarnationId: string, cause: LeavingCause): void {
+  /**
+   * Marks one incarnation of a runner as leaving; see `toIncarnationId`.
+   * `ageMs` limits the age of the information, where it is known.
+   */
+  markLeaving(
+    incarnationId: string,
+    cause: LeavingCause,
+    ageMs?: number,
+  ): void {
     if (this.#leavingSinceMs.has(incarnationId)) return;
     const nowMs = monotonicMs();
     this.#leavingSinceMs.set(incarnationId, nowMs);
@@ -131,6 +139,7 @@
       runner: incarnationId,
       service: runner?.serviceId,
       cause,
+      age_ms: ageMs,
     });
     if (runner) void this.events.emit("leaving", runner);
   }
@@ -154,8 +163,11 @@
   }
 
   #evictOldMarks(nowMs: number): void {
+    const listed = new Set([...this.#runners.values()].map(toIncarnationId));
     for (const [incarnationId, sinceMs] of this.#leavingSinceMs) {
       if (nowMs - sinceMs < LEAVING_RETENTION_MS) return;
+      // A stale list may still say that it is ready.
+      if (listed.has(incarnationId)) continue;
       this.#leavingSinceMs.delete(incarnationId);
     }
   }
--- a/packages/metrics/src/counter_name.ts
+++ b/packages/metrics/src/counter_name.ts
@@ -1,7 +1,8 @@
 /**
  * Names of the counters. `answers_cut` counts responses aborted after their
- * head, `moves` the migrations of running generations, and `preemptions_seen`
- * the preemptions that engines reported.
+ * head, `moves` the migrations of running generations, `preemptions_seen` the
+ * preemptions that engines reported, and `runners_leaving` the runners that
+ * became known to be leaving.
  */
 export type CounterName =
   | "tokens"
@@ -10,6 +11,7 @@
   | "resumes"
   | "preemptions_seen"
   | "runners_lost"
+  | "runners_leaving"
   | "refusals"
   | "requests"
   | "attempts"
