Leave a runner alone for as long as its Retry-After says

What callers would see: refusals and retries at a runner that has said it wants nothing for a while.

Cause: Retry-After in a runner's 503 was only forwarded. The next request was placed on the runner at once, a 503 without a claim of not having run counted as a failure of the runner, and with all runners turning requests away each request tried them anew.

Ruled out: an exclusion by request was in place (a request does not return to a runner that refused it), so that the fault lies between requests.

Change: a 503 with Retry-After in seconds, in any response that counts as a notice, pauses the incarnation for this instance for that long, at most 60 s. A paused runner is no candidate for requests, repeats and targets of copies; a request already placed on it is withheld before it is written, which is neither a failure nor a retry. Two runs may resume there during a pause. If all runners pause, callers and queued requests are refused at once with a Retry-After spread after the earliest end. Peers are not told, see docs/design/general_requests.md. runner_paused and a counter tell of each pause.

A request withheld since its runner began to leave no longer counts as a failure of the runner either (outcome withheld instead of not_sent).

--- a/packages/gateway/src/decisions/placement_choice.ts
+++ b/packages/gateway/src/decisions/placement_choice.ts
@@ -10,4 +10,6 @@
     }
   /** Candidates exist, but none has capacity. */
   | { readonly type: "no_capacity"; readonly candidateCount: number }
+  /** All runners that are left want no requests now. */
+  | { readonly type: "all_paused" }
   | { readonly type: "no_runner" };
--- a/packages/gateway/src/model/runner_notice.ts
+++ b/packages/gateway/src/model/runner_notice.ts
@@ -1,4 +1,6 @@
 /** What a runner says of itself in the head of a response. */
 export interface RunnerNotice {
   readonly isLeaving: boolean;
+  /** For how long it wants no requests from this instance. */
+  readonly pauseMs?: number | undefined;
 }
--- a/packages/gateway/src/relay/attempt_outcome.ts
+++ b/packages/gateway/src/relay/attempt_outcome.ts
@@ -4,6 +4,8 @@
 export type AttemptOutcome =
   /** No byte of the request has reached the runner. */
   | { readonly type: "not_sent"; readonly reason: string }
+  /** Not sent, as the runner has come to leave or to pause since placement. */
+  | { readonly type: "withheld"; readonly reason: string }
   /** The runner states that it has not executed the request. */
   | { readonly type: "rejected"; readonly reason: string }
   /** A complete response that has not been forwarded yet. */
--- a/packages/gateway/src/relay/leave_poller.ts
+++ b/packages/gateway/src/relay/leave_poller.ts
@@ -16,6 +16,8 @@
   readonly directory: RunnerDirectory;
   /** Lists the engines that execute runs of this instance. */
   readonly listSources: () => readonly GatewayRunner[];
+  /** True while the runner wants no requests from this instance. */
+  readonly isPaused: (runner: GatewayRunner) => boolean;
   /** True while the list of runners can be read. */
   readonly isListFresh: () => boolean;
   readonly logger: Logger;
@@ -50,8 +52,9 @@
   }
 
   #pollAll(): void {
-    for (const runner of this.#dependencies.listSources()) {
-      if (this.#dependencies.directory.isLeaving(runner.runnerId)) continue;
+    const { directory, isPaused, listSources } = this.#dependencies;
+    for (const runner of listSources()) {
+      if (directory.isLeaving(runner.runnerId) || isPaused(runner)) continue;
       void this.#poll(runner);
     }
   }
--- a/packages/gateway/src/relay/placement_scheduler.ts
+++ b/packages/gateway/src/relay/placement_scheduler.ts
@@ -11,6 +11,7 @@
 import type { GenerationWork } from "../model/generation_work.js";
 import type { RunnerLoad } from "../model/runner_load.js";
 import type { RunnerDirectory } from "../views/runner_directory.js";
+import type { RunnerPauses } from "../views/runner_pauses.js";
 
 /** How often the queue is dispatched when no placement is released. */
 const DISPATCH_INTERVAL_MS = 25;
@@ -45,6 +46,7 @@
  */
 export class PlacementScheduler {
   readonly #directory: RunnerDirectory;
+  readonly #pauses: RunnerPauses;
   readonly #loadTracker: LoadTracker;
   readonly #outliers: OutlierScores;
   readonly #location: {
@@ -57,6 +59,7 @@
 
   constructor(dependencies: {
     readonly directory: RunnerDirectory;
+    readonly pauses: RunnerPauses;
     readonly loadTracker: LoadTracker;
     readonly outliers: OutlierScores;
     readonly location: {
@@ -67,6 +70,7 @@
   }) {
     this.#countInstances = dependencies.countInstances;
     this.#directory = dependencies.directory;
+    this.#pauses = dependencies.pauses;
     this.#loadTracker = dependencies.loadTracker;
     this.#outliers = dependencies.outliers;
     this.#location = dependencies.location;
@@ -80,7 +84,10 @@
   /** Chooses a runner without waiting. */
   chooseNow(requirements: PlacementRequirements): PlacementChoice {
     const isLargeFleet = this.#countInstances() > SMALL_FLEET_MAX_INSTANCES;
-    return chooseRunner(this.listCandidates(requirements), {
+    const candidates = this.listCandidates(requirements);
+    if (candidates.length === 0 && this.#arePaused(requirements))
+      return { type: "all_paused" };
+    return chooseRunner(candidates, {
       ...this.#location,
       random: isLargeFleet ? Math.random() : undefined,
       nowMs: monotonicMs(),
@@ -90,6 +97,15 @@
     });
   }
 
+  /**
+   * Time until the first runner of a service ends its pause; undefined unless
+   * all of them pause.
+   */
+  findPauseEndMs(serviceId: string): number | undefined {
+    const usable = this.#directory.listUsable(serviceId);
+    return this.#pauses.findEarliestEndMs(usable);
+  }
+
   /** Load of one runner as known to this instance. */
   getLoad(runnerId: string): RunnerLoad {
     return this.#loadTracker.getLoad(runnerId);
@@ -105,6 +121,7 @@
     for (const runner of this.#directory.listUsable(service.serviceId)) {
       const { runnerId } = runner;
       if (excludedRunnerIds.has(runnerId)) continue;
+      if (this.#pauses.isPaused(runner)) continue;
       const load = this.#loadTracker.getLoad(runnerId, nowMs);
       const failureShare = this.#outliers.getFailureShare(runnerId, nowMs);
       candidates.push({ runner, load, failureShare });
@@ -126,7 +143,7 @@
     // Later arrivals do not overtake queued requests, unless urgent.
     const mayBypassQueue = this.#queue.size === 0 || requirements.isUrgent;
     if (choice.type === "placed" && mayBypassQueue) return choice;
-    if (options.maxWaitMs <= 0) return choice;
+    if (options.maxWaitMs <= 0 || choice.type === "all_paused") return choice;
     return await new Promise((resolve) => {
       const { signal } = options;
       const nowMs = monotonicMs();
@@ -189,6 +206,7 @@
       (item) => item.waitEndsAtMs <= nowMs,
     );
     for (const item of expired) item.settle(this.chooseNow(item.requirements));
+    if (!this.#pauses.isEmpty) this.#settlePaused();
     // Assigns at most one request to each runner per pass, because a request
     // counts as load only after it has been reserved.
     const assignedRunnerIds = new Set<string>();
@@ -205,4 +223,22 @@
       this.#timer = undefined;
     }
   }
+
+  // Settles the queued requests for which all runners pause.
+  #settlePaused(): void {
+    const paused = this.#queue.removeWhere(
+      ({ requirements }) => this.chooseNow(requirements).type === "all_paused",
+    );
+    for (const item of paused) item.settle({ type: "all_paused" });
+  }
+
+  // Runners that the request has tried count only if there are no others.
+  #arePaused({ service, excludedRunnerIds }: PlacementRequirements): boolean {
+    const usable = this.#directory.listUsable(service.serviceId);
+    const others = usable.filter(
+      ({ runnerId }) => !excludedRunnerIds.has(runnerId),
+    );
+    const remaining = others.length > 0 ? others : usable;
+    return this.#pauses.findEarliestEndMs(remaining) !== undefined;
+  }
 }
--- a/packages/gateway/src/relay/request_relay.ts
+++ b/packages/gateway/src/relay/request_relay.ts
@@ -46,6 +46,11 @@
 const STREAM_FIRST_BYTE_SHARE = 1.5;
 /** The final response is sent this long before the request's deadline. */
 const RESPONSE_MARGIN_MS = 20;
+const NO_PLACEMENT_REASONS = {
+  no_capacity: "no runner has room",
+  all_paused: "all runners pause",
+  no_runner: "no runner is left",
+} as const;
 /** Engine priority per level of request priority; 0 is served first. */
 const ENGINE_PRIORITY_STEP = 2;
 
@@ -210,10 +215,7 @@
       });
       return choice.runner;
     }
-    progress.lastReason ||=
-      choice.type === "no_capacity"
-        ? "no runner has room"
-        : "no runner is left";
+    progress.lastReason ||= NO_PLACEMENT_REASONS[choice.type];
     return undefined;
   }
 
@@ -248,10 +250,12 @@
       });
       if (!opened.ok) return { type: "not_sent", reason: opened.error };
       const connection = opened.value;
-      // The runner may have started to leave while the connection was opened.
-      if (!continueFrom && directory.isLeaving(runner.runnerId)) {
+      const objection = notices.findObjection(runner, {
+        isResumption: continueFrom !== undefined,
+      });
+      if (objection !== undefined) {
         connection.close();
-        return { type: "not_sent", reason: "the runner leaves" };
+        return { type: "withheld", reason: objection };
       }
       const leftMs = remainingMs(context);
       if (leftMs <= 0) {
@@ -357,6 +361,7 @@
         recordUnexecuted(progress, outcome, isResumption);
         return undefined;
       case "rejected":
+      case "withheld":
         recordUnexecuted(progress, outcome, isResumption);
         return undefined;
       case "streamed":
@@ -368,8 +373,10 @@
         return { type: "cut", reason: "the last run may not be whole" };
       case "answered": {
         const isFailure = outcome.head.statusCode >= 500;
-        if (isFailure) progress.failures.recordFailure(runner.runnerId);
-        else this.#recordSuccess(context, runner);
+        if (!isFailure) this.#recordSuccess(context, runner);
+        // A pause is not a failure of the runner.
+        else if (outcome.head.notice.pauseMs === undefined)
+          progress.failures.recordFailure(runner.runnerId);
         if (isFailure && canRetry && !context.response.isHeadSent) {
           progress.executionCount += 1;
           progress.mayHaveExecuted = true;
@@ -447,6 +454,9 @@
       const retryAfterMs = estimateRetryAfterMs({
         queuedCount: this.#dependencies.scheduler.queuedCount,
         freedSlotsPerSecond: this.#sendRate.perSecond,
+        pauseEndsInMs: this.#dependencies.scheduler.findPauseEndMs(
+          context.service.serviceId,
+        ),
         random: Math.random(),
       });
       return refuse({ type: "not_run", reason, retryAfterMs });
--- a/packages/gateway/src/server/gateway_instance.ts
+++ b/packages/gateway/src/server/gateway_instance.ts
@@ -36,6 +36,7 @@
 import { syncConfig } from "../views/sync_config.js";
 import { syncRunners } from "../views/sync_runners.js";
 import { RunnerDirectory } from "../views/runner_directory.js";
+import { RunnerPauses } from "../views/runner_pauses.js";
 import { RunnerWatchCache } from "../views/runner_watch_cache.js";
 import { StoreReadHealth } from "../views/store_read_health.js";
 import { CallerServer } from "./caller_server.js";
@@ -138,8 +139,10 @@
       logger,
     });
     const { availabilityZone, region } = settings;
+    const pauses = new RunnerPauses();
     const scheduler = new PlacementScheduler({
       directory: this.#directory,
+      pauses,
       loadTracker,
       outliers,
       location: { availabilityZone, region },
@@ -163,6 +166,7 @@
       control,
       directory: this.#directory,
       listSources: () => migrator.listSources(),
+      isPaused: (runner) => pauses.isPaused(runner),
       isListFresh: () =>
         this.#configHealth.isHealthy && this.#runnersHealth.isHealthy,
       logger,
@@ -175,9 +179,11 @@
       migrator,
       notices: new RunnerNotices({
         directory: this.#directory,
+        pauses,
         control,
         pool: this.#pool,
         metrics: this.#metrics,
+        logger,
       }),
       directory: this.#directory,
       outliers,
