Move a run on that has resumed on a leaving runner

What callers would see: a stream cut a second time, when the target of its migration began to leave after the run had been copied there.

Cause: runs start to migrate when their runner is marked as leaving. One that resumes there later was never told, since an incarnation is marked once.

Ruled out: new requests on the leaving target, which are withheld. Weighed and left out: copying to a third runner before the run is stopped. A break during that copy would lose the run, and whether an engine takes an order to another target while it holds the first copy is not known.

Change: a resumption at a runner that is leaving starts its next migration as it is sent.

--- a/packages/gateway/src/relay/request_relay.ts
+++ b/packages/gateway/src/relay/request_relay.ts
@@ -268,6 +268,8 @@
       migration?.onCloseSource(() => {
         connection.close();
       });
+      if (migration && continueFrom)
+        this.#dependencies.migrator.startIfLeaving(runner, migration);
       const {
         outcome: received,
         head,
--- a/packages/gateway/src/relay/run_migrator.ts
+++ b/packages/gateway/src/relay/run_migrator.ts
@@ -86,6 +86,16 @@
     return migration;
   }
 
+  /**
+   * Migrates a run on if the runner on which it resumes has come to leave since
+   * its KV cache was copied there.
+   */
+  startIfLeaving(runner: GatewayRunner, migration: RunMigration): void {
+    if (!this.#dependencies.directory.isLeaving(runner.runnerId)) return;
+    this.#dependencies.metrics.count("moves");
+    migration.start(monotonicMs() + MIN_NOTICE_MS);
+  }
+
   /** Stops a run whose stream has ended before it starts anew on `target`. */
   async stop(
     { service, request }: RequestContext,
