--- a/packages/gateway/src/relay/request_relay.ts
+++ b/packages/gateway/src/relay/request_relay.ts
@@ -28,6 +28,7 @@
 import { runAttempt } from "./run_attempt.js";
 import type { RunMigration } from "./run_migration.js";
 import type { RunMigrator } from "./run_migrator.js";
+import type { RunnerNotices } from "./runner_notices.js";
 import { StreamSession } from "./stream_session.js";
 
 /** Connecting takes one round trip, which is under 100 ms between regions. */
@@ -48,6 +49,11 @@
 const STREAM_FIRST_BYTE_SHARE = 1.5;
 /** The final response is sent this long before the request's deadline. */
 const RESPONSE_MARGIN_MS = 20;
+const NO_PLACEMENT_REASONS = {
+  no_capacity: "no runner has room",
+  all_paused: "all runners pause",
+  no_runner: "no runner is left",
+} as const;
 /** Engine priority per level of request priority; 0 is served first. */
 const ENGINE_PRIORITY_STEP = 2;
 
@@ -57,6 +63,7 @@
   readonly pool: ConnectionPool;
   readonly scheduler: PlacementScheduler;
   readonly migrator: RunMigrator;
+  readonly notices: RunnerNotices;
   readonly directory: RunnerDirectory;
   readonly outliers: OutlierScores;
   readonly retryBudget: FleetRetryBudget;
@@ -222,10 +229,7 @@
       });
       return choice.runner;
     }
-    progress.lastReason ||=
-      choice.type === "no_capacity"
-        ? "no runner has room"
-        : "no runner is left";
+    progress.lastReason ||= NO_PLACEMENT_REASONS[choice.type];
     return undefined;
   }
 
@@ -236,7 +240,7 @@
   ): Promise<AttemptOutcome> {
     const { runner, progress } = plan;
     const { request, route, service } = context;
-    const { scheduler, pool, codec, directory } = this.#dependencies;
+    const { scheduler, pool, codec, directory, notices } = this.#dependencies;
     const placement = scheduler.reserve(runner.runnerId, request.work);
     session?.setPlacement(placement);
     const migration = this.#dependencies.migrator.track(context, runner);
@@ -260,21 +264,26 @@
       });
       if (!opened.ok) return { type: "not_sent", reason: opened.error };
       const connection = opened.value;
-      // The runner may have started to leave while the connection was opened.
-      if (!continueFrom && directory.isLeaving(runner.runnerId)) {
+      const objection = notices.findObjection(runner, {
+        isResumption: continueFrom !== undefined,
+      });
+      if (objection !== undefined) {
         connection.close();
-        return { type: "not_sent", reason: "the runner leaves" };
+        return { type: "withheld", reason: objection };
       }
       const leftMs = remainingMs(context);
       if (leftMs <= 0) {
         connection.close();
         return { type: "timed_out" };
       }
+      const sentAtMs = monotonicMs();
       progress.sendCount += 1;
       this.#sendRate.record();
       migration?.onCloseSource(() => {
         connection.close();
       });
+      if (migration && continueFrom)
+        this.#dependencies.migrator.startIfLeaving(runner, migration);
       const {
         outcome: received,
         head,
@@ -299,6 +308,10 @@
         remainingMs: leftMs,
         firstByteTimeoutMs: this.#firstByteTimeoutMs(context, progress),
         receiver: session,
+        onOwnHead: ({ notice, execution }) => {
+          const source = execution === "executed" ? "answer" : "refusal";
+          notices.heed(runner, notice, { source, sentAtMs });
+        },
       });
       const isGivenUp =
         received.type === "caller_left" &&
@@ -307,7 +320,9 @@
         ? ({ type: "given_up" } as const)
         : rejectAmbiguousEnd(received, migration);
       progress.lastConnection = ended;
-      if (head?.isClosing && head.execution !== "wrong_runner") {
+      const isClosing =
+        head?.isClosing === true || directory.isLeaving(runner.runnerId);
+      if (isClosing && head?.execution !== "wrong_runner") {
         connection.close();
       } else if (outcome.type === "answered" || outcome.type === "streamed") {
         pool.release(runner.runnerId, connection, head?.keepAliveMs);
@@ -362,6 +377,7 @@
         recordUnexecuted(progress, outcome, isResumption);
         return undefined;
       case "rejected":
+      case "withheld":
         recordUnexecuted(progress, outcome, isResumption);
         return undefined;
       case "streamed":
@@ -373,8 +389,10 @@
         return { type: "cut", reason: "the last run may not be whole" };
       case "answered": {
         const isFailure = outcome.head.statusCode >= 500;
-        if (isFailure) progress.failures.recordFailure(runner.runnerId);
-        else this.#recordSuccess(context, runner);
+        if (!isFailure) this.#recordSuccess(context, runner);
+        // A pause is not a failure of the runner.
+        else if (outcome.head.notice.pauseMs === undefined)
+          progress.failures.recordFailure(runner.runnerId);
         if (isFailure && canRetry && !context.response.isHeadSent) {
           progress.executionCount += 1;
           progress.mayHaveExecuted = true;
@@ -457,6 +475,9 @@
       const retryAfterMs = estimateRetryAfterMs({
         queuedCount: this.#dependencies.scheduler.queuedCount,
         freedSlotsPerSecond: this.#sendRate.perSecond,
+        pauseEndsInMs: this.#dependencies.scheduler.findPauseEndMs(
+          context.service.serviceId,
+        ),
         random: Math.random(),
       });
       return refuse({ type: "not_run", reason, retryAfterMs });
--- a/packages/gateway/src/server/gateway_instance.ts
+++ b/packages/gateway/src/server/gateway_instance.ts
@@ -32,11 +32,13 @@
 import { PlacementScheduler } from "../relay/placement_scheduler.js";
 import { RequestRelay } from "../relay/request_relay.js";
 import { RunMigrator } from "../relay/run_migrator.js";
+import { RunnerNotices } from "../relay/runner_notices.js";
 import { ConnectionPool } from "../transport/connection_pool.js";
 import { ActiveConfig } from "../views/active_config.js";
 import { syncConfig } from "../views/sync_config.js";
 import { syncRunners } from "../views/sync_runners.js";
 import { RunnerDirectory } from "../views/runner_directory.js";
+import { RunnerPauses } from "../views/runner_pauses.js";
 import { RunnerWatchCache } from "../views/runner_watch_cache.js";
 import { StoreReadHealth } from "../views/store_read_health.js";
 import { CallerServer } from "./caller_server.js";
@@ -149,8 +151,10 @@
       logger,
     });
     const { availabilityZone, region } = settings;
+    const pauses = new RunnerPauses();
     const scheduler = new PlacementScheduler({
       directory: this.#directory,
+      pauses,
       loadTracker,
       outliers,
       location: { availabilityZone, region },
@@ -174,6 +178,7 @@
       control,
       directory: this.#directory,
       listSources: () => migrator.listSources(),
+      isPaused: (runner) => pauses.isPaused(runner),
       isListFresh: () =>
         this.#configHealth.isHealthy && this.#runnersHealth.isHealthy,
       logger,
@@ -184,6 +189,14 @@
       pool: this.#pool,
       scheduler,
       migrator,
+      notices: new RunnerNotices({
+        directory: this.#directory,
+        pauses,
+        control,
+        pool: this.#pool,
+        metrics: this.#metrics,
+        logger,
+      }),
       directory: this.#directory,
       outliers,
       retryBudget: new FleetRetryBudget(settings.retry, () =>
