End pipelined responses with their connection

Node.js emits that only for the response that holds the socket; one queued behind it on the same connection never gets it. A caller that pipelines two requests and leaves so kept the second one, with its body, in memory for ever, and each planned stop then waited for it until the end of the grace. Its runner was not told to stop either.

Ruled out: the request's own "close", which comes once its body is read.

Change: the response also heeds the "close" of its socket.

Test: pipelined_response, failed before ("it is active for ever"), passes now.

--- a/packages/gateway/src/server/http_caller_response.ts
+++ b/packages/gateway/src/server/http_caller_response.ts
@@ -15,11 +15,16 @@
   constructor(response: ServerResponse, isClosing: () => boolean) {
     this.#response = response;
     this.#isClosing = isClosing;
+    const { socket } = response.req;
     this.closed = new Promise((resolve) => {
-      response.on("close", () => {
+      const onClose = () => {
+        socket.off("close", onClose);
         if (!response.writableFinished) this.#disconnect();
         resolve();
-      });
+      };
+      response.on("close", onClose);
+      // A response behind another on its connection has no event of its own.
+      socket.on("close", onClose);
     });
     response.on("error", () => {
       this.#disconnect();
