Keep a silent attempt in a planned stop that allows no other

Cause: an attempt that is silent for 0.8 of the route's target latency (1.5 for streams) is abandoned for a retry. While an instance stops, a request whose deadline is later than the exit may not start again, so that it was abandoned for nothing: its caller got 502, though the runner was at work and would have answered within the grace. The same held for a quarantine that came up meanwhile.

Ruled out: deciding it when the attempt starts, as the stop may begin later.

Change: the timeout asks whether another attempt may follow, and otherwise leaves the attempt to the request's deadline and the exit.

--- a/packages/gateway/src/relay/request_relay.ts
+++ b/packages/gateway/src/relay/request_relay.ts
@@ -307,6 +307,7 @@
         signal: context.response.cancelSignal,
         remainingMs: leftMs,
         firstByteTimeoutMs: this.#firstByteTimeoutMs(context, progress),
+        mayAbandon: () => this.#findObstacle(context) === undefined,
         receiver: session,
         onOwnHead: ({ notice, execution }) => {
           const source = execution === "executed" ? "answer" : "refusal";
--- a/packages/gateway/src/relay/run_attempt.ts
+++ b/packages/gateway/src/relay/run_attempt.ts
@@ -26,6 +26,8 @@
   readonly remainingMs: number;
   /** Timeout for the response head or, for a stream, the first event. */
   readonly firstByteTimeoutMs?: number | undefined;
+  /** Asked at that timeout: false if no other attempt could follow. */
+  readonly mayAbandon?: (() => boolean) | undefined;
   /** Called for a head that belongs to the request, before its body. */
   readonly onOwnHead?: ((head: RunnerResponse) => void) | undefined;
   /** Receives a stream's events; absent if no stream is expected. */
@@ -85,7 +87,7 @@
       options.firstByteTimeoutMs === undefined
         ? undefined
         : setTimeout(() => {
-            settle({ type: "slow" });
+            if (options.mayAbandon?.() ?? true) settle({ type: "slow" });
           }, options.firstByteTimeoutMs);
     options.signal.addEventListener("abort", onCallerDisconnect, {
       once: true,
