Let plain responses clear the prompt parts of their requests

Cause: crashes were filed against the shared parts of every request, but only streams recorded that a prompt had been survived. Parts of generations on routes that do not stream were never cleared: after three losses, each followed by sound responses with the part, all requests with it were refused for ten minutes.

Ruled out: clearing by any status, since a failure need not come from reading the prompt.

Change: a complete 2xx response clears the parts, as of the time at which the request was sent, since the moment at which it began is not known.

--- a/packages/gateway/src/relay/request_relay.ts
+++ b/packages/gateway/src/relay/request_relay.ts
@@ -13,6 +13,7 @@
 import type { GatewayCodec } from "../model/gateway_codec.js";
 import type { GatewayRunner } from "../model/gateway_runner.js";
 import type { Refusal } from "../model/refusal.js";
+import type { RunnerResponse } from "../model/runner_response.js";
 import type { ConnectionPool } from "../transport/connection_pool.js";
 import type { RunnerDirectory } from "../views/runner_directory.js";
 import type { AttemptOutcome } from "./attempt_outcome.js";
@@ -321,6 +322,12 @@
         ? ({ type: "given_up" } as const)
         : rejectAmbiguousEnd(received, migration);
       progress.lastConnection = ended;
+      // It began at some time since it was sent.
+      if (outcome.type === "answered" && isSuccess(outcome.head))
+        this.#dependencies.partEvidence.recordLived(
+          context.sharedPartIds,
+          monotonicMs() - sentAtMs,
+        );
       const isClosing =
         head?.isClosing === true || directory.isLeaving(runner.runnerId);
       if (isClosing && head?.execution !== "wrong_runner") {
@@ -511,6 +518,10 @@
   }
 }
 
+function isSuccess({ statusCode }: RunnerResponse): boolean {
+  return statusCode >= 200 && statusCode < 300;
+}
+
 function remainingMs({ deadlineAtMs }: RequestContext): number {
   return deadlineAtMs - RESPONSE_MARGIN_MS - monotonicMs();
 }
