Hash a request once for the quarantine

Cause: since verdicts are asked for again before each attempt, the fingerprint of a request was computed at admission, before and after the choice of its runner, and once more at its end or at a crash, each time over its whole body. It happens whenever a fingerprint is on record, for ten minutes after a crash.

Ruled out: hashing at admission always, which the first check avoids.

Change: the fingerprint of a request is kept once it is known.

Its cost was not measured.

--- a/packages/gateway/src/server/admit_request.ts
+++ b/packages/gateway/src/server/admit_request.ts
@@ -75,11 +75,13 @@
   if (!endsBeforeExit(deadlineAtMs, exitAtMs())) {
     return { ok: false, error: refuseWhileStopping() };
   }
+  // Asked for again before each attempt; a body may have megabytes.
+  let fingerprint: string | undefined;
   const computeRequestFingerprint = () =>
-    computeFingerprint(
+    (fingerprint ??= computeFingerprint(
       team?.teamId ?? "",
       `${request.method} ${request.target}\n${received.body.toString("latin1")}`,
-    );
+    ));
   const sharedPartIds = listSharedParts(request.work);
   const quarantined = findQuarantineRefusal(
     { computeFingerprint: computeRequestFingerprint, sharedPartIds },
