End pipelined responses of the product's daemon with their connection

Node.js emits close only for the response that holds the socket, so that a response behind another on its connection stayed active for ever, and the drain, which has no end, waited for it.

Change: the response also heeds the close of its socket. Test active_responses: count 1 after 2 s before, 0 now; planned_stop of the package passes as before.

--- a/packages/jujubeladder/src/entry/active_responses.ts
+++ b/packages/jujubeladder/src/entry/active_responses.ts
@@ -12,9 +12,14 @@
   /** Counts a response until all of it has been sent, or its caller has left. */
   add(response: ServerResponse): void {
     this.#active.add(response);
-    response.on("close", () => {
+    const { socket } = response.req;
+    const onClose = () => {
+      socket.off("close", onClose);
       this.#active.delete(response);
-    });
+    };
+    response.on("close", onClose);
+    // A response behind another on its connection has no event of its own.
+    socket.on("close", onClose);
     if (this.#isLeaving) response.shouldKeepAlive = false;
   }
 
