Do not condemn common prompt parts when all engines fail at once

What callers would see: after all engines of a service failed within a second for a reason of their own, every request with a common part was refused for ten minutes, though the engines were back after seconds.

Cause: five losses convicted a part that had lived, however close together, and only a success could end the verdict. Where no engine is left, nothing succeeds before it, and afterwards nothing with the part is let through.

Change: for a part that has lived, losses count once in 0.25 s, and its verdict lapses after 30 s instead of ten minutes. Deadly parts that never lived are judged as before.

--- a/packages/coordination/src/part_quarantine.ts
+++ b/packages/coordination/src/part_quarantine.ts
@@ -18,6 +18,8 @@
 const MAX_MERGED_ENTRIES = 64;
 /** After this time a verdict allows a trial, and a mere suspicion ends. */
 const VERDICT_MS = 600_000;
+/** The same for a part that lived before: many requests may hold it. */
+const LIVED_PART_VERDICT_MS = 30_000;
 /** A loss this long after the last one still renews the verdict. */
 const CONVICTION_MEMORY_MS = 3_600_000;
 /** Parts with fewer losses are never convicted. */
@@ -204,6 +206,7 @@
         {
           losses: evidence.losses,
           countedLosses: evidence.countedLosses(now),
+          separateLossCount: evidence.countSeparateLosses(now),
           hasLived: evidence.livedAgeMs(now) <= VERDICT_MS,
         },
       ]),
@@ -212,7 +215,9 @@
       [...judgeParts(cases)].map(([partId, verdict]) => {
         const ageMs = this.#parts.get(partId)?.newestLossAgeMs(now) ?? 0;
         const { lostRunners } = verdict;
-        const isLapsed = verdict.type === "convicted" && ageMs > VERDICT_MS;
+        const hasLived = cases.get(partId)?.hasLived ?? false;
+        const maxAgeMs = hasLived ? LIVED_PART_VERDICT_MS : VERDICT_MS;
+        const isLapsed = verdict.type === "convicted" && ageMs > maxAgeMs;
         return [partId, isLapsed ? { type: "lapsed", lostRunners } : verdict];
       }),
     );
--- a/packages/coordination/src/part_record.ts
+++ b/packages/coordination/src/part_record.ts
@@ -5,6 +5,8 @@
 
 /** Losses kept of a part; the oldest are dropped first. */
 const MAX_LOSSES = 32;
+/** Engines that fail within this time may have failed for one cause. */
+const LOSS_SPACING_MS = 250;
 /** Losses told of a part; the newest are told. */
 const MAX_TOLD_LOSSES = 8;
 /**
@@ -87,6 +89,20 @@
     return counted;
   }
 
+  /** Counted losses at separate moments. */
+  countSeparateLosses(now: ClockReading): number {
+    const counted = this.countedLosses(now);
+    let count = 0;
+    let lastAgeMs = Number.NEGATIVE_INFINITY;
+    for (const { incarnationId, ageMs } of this.#byAge(now)) {
+      if (!counted.has(incarnationId)) continue;
+      if (ageMs - lastAgeMs < LOSS_SPACING_MS) continue;
+      lastAgeMs = ageMs;
+      count += 1;
+    }
+    return count;
+  }
+
   /** Leaves out acquitted losses, except for the newest. */
   describe(partId: string, now: ClockReading): PartSuspicion {
     const livedAgeMs = this.livedAgeMs(now);
