Move the relay's plain decisions into files of their own

No change of behaviour: delivering a buffered answer, the time left, the record of an unexecuted attempt and the end of a moved run's stream are as they were.

--- a/packages/gateway/src/relay/request_relay.ts
+++ b/packages/gateway/src/relay/request_relay.ts
@@ -19,6 +19,7 @@
 import type { AttemptOutcome } from "./attempt_outcome.js";
 import type { FinalOutcome } from "./final_outcome.js";
 import type { InterruptedRequest } from "./interrupted_request.js";
+import { deliverAnswer } from "./deliver_answer.js";
 import { logAttempt } from "./log_attempt.js";
 import { mayRetry } from "./may_retry.js";
 import type { PartEvidenceRecorder } from "./part_evidence_recorder.js";
@@ -26,8 +27,10 @@
 import type { PlacementScheduler } from "./placement_scheduler.js";
 import type { RelayProgress } from "./relay_progress.js";
 import type { RequestContext } from "./request_context.js";
+import { recordUnexecuted } from "./record_unexecuted.js";
+import { rejectAmbiguousEnd } from "./reject_ambiguous_end.js";
+import { remainingMs } from "./remaining_ms.js";
 import { runAttempt } from "./run_attempt.js";
-import type { RunMigration } from "./run_migration.js";
 import type { RunMigrator } from "./run_migrator.js";
 import type { RunnerNotices } from "./runner_notices.js";
 import { StreamSession } from "./stream_session.js";
@@ -48,8 +51,6 @@
  * so only attempts on hanging runners are abandoned.
  */
 const STREAM_FIRST_BYTE_SHARE = 1.5;
-/** The final response is sent this long before the request's deadline. */
-const RESPONSE_MARGIN_MS = 20;
 const NO_PLACEMENT_REASONS = {
   no_capacity: "no runner has room",
   all_paused: "all runners pause",
@@ -408,7 +409,7 @@
           progress.lastReason = `status ${outcome.head.statusCode}`;
           return undefined;
         }
-        return this.#deliver(context, outcome);
+        return deliverAnswer(context, outcome);
       }
       case "broken":
         this.#dependencies.outliers.record(runner.runnerId, true);
@@ -445,28 +446,6 @@
     }
   }
 
-  #deliver(
-    { response, request }: RequestContext,
-    { head, body }: Extract<AttemptOutcome, { type: "answered" }>,
-  ): FinalOutcome {
-    if (response.isHeadSent) {
-      response.abort();
-      return { type: "cut", reason: `status ${head.statusCode} in mid-stream` };
-    }
-    const hasBody = request.method !== "HEAD" && head.statusCode !== 204;
-    const length =
-      hasBody && !head.endsWithConnection
-        ? ["content-length", String(body.length)]
-        : [];
-    response.sendHead(
-      head.statusCode,
-      [...head.forwardedHeaders, ...length],
-      head,
-    );
-    response.end(body);
-    return { type: "delivered", statusCode: head.statusCode };
-  }
-
   #giveUp(context: RequestContext, progress: RelayProgress): FinalOutcome {
     const { response } = context;
     const reason = progress.lastReason || "the time is up";
@@ -476,7 +455,7 @@
       return { type: "cut", reason };
     }
     if (progress.lastFailure)
-      return this.#deliver(context, progress.lastFailure);
+      return deliverAnswer(context, progress.lastFailure);
     if (!progress.mayHaveExecuted) {
       const obstacle = this.#findObstacle(context);
       if (obstacle) return refuse(obstacle);
@@ -522,38 +501,6 @@
   return statusCode >= 200 && statusCode < 300;
 }
 
-function remainingMs({ deadlineAtMs }: RequestContext): number {
-  return deadlineAtMs - RESPONSE_MARGIN_MS - monotonicMs();
-}
-
-// Stopping a run closes its stream. If only the end of the connection delimits
-// the body, this looks like a complete stream.
-function rejectAmbiguousEnd(
-  outcome: AttemptOutcome,
-  migration: RunMigration | undefined,
-): AttemptOutcome {
-  const isEndAmbiguous =
-    outcome.type === "streamed" &&
-    outcome.head.endsWithConnection &&
-    migration?.mayHaveStopped === true;
-  return isEndAmbiguous
-    ? { type: "broken", reason: "the connection ended while the run moved" }
-    : outcome;
-}
-
-// A run whose resumption fails stays one that has executed: its stopped part
-// then counts as an attempt of its own.
-function recordUnexecuted(
-  progress: RelayProgress,
-  { reason }: { readonly reason: string },
-  isResumption: boolean,
-): void {
-  progress.lastReason = isResumption
-    ? `the run could not resume: ${reason}`
-    : reason;
-  if (isResumption) progress.executionCount += 1;
-}
-
 function refuse(refusal: Refusal): FinalOutcome {
   return { type: "refused", refusal };
 }
