--- a/packages/coordination/src/decode_part_evidence.ts
+++ b/packages/coordination/src/decode_part_evidence.ts
@@ -1,4 +1,5 @@
 import type { Digest } from "@jujubeladder/protocol";
+import { isSoundId } from "./is_sound_id.js";
 import { PART_EVIDENCE_LIMITS } from "./part_evidence_limits.js";
 import type { PartSuspicion } from "./part_suspicion.js";
 
@@ -7,7 +8,7 @@
   const { partSuspicions, runnerLosses } = digest;
   return partSuspicions
     .slice(0, PART_EVIDENCE_LIMITS.parts)
-    .filter(({ partId }) => isReadable(partId))
+    .filter(({ partId }) => isSoundId(partId))
     .map(({ partId, lossIndexes, livedAgeMs }) => {
       const indexes = [...new Set(lossIndexes)];
       const losses = new Map(
@@ -15,7 +16,7 @@
           .slice(0, PART_EVIDENCE_LIMITS.lossesPerPart)
           .flatMap((index) => {
             const loss = runnerLosses[index];
-            return loss && isReadable(loss.incarnationId)
+            return loss && isSoundId(loss.incarnationId)
               ? [[loss.incarnationId, loss.ageMs] as const]
               : [];
           }),
@@ -29,7 +30,3 @@
       };
     });
 }
-
-function isReadable(id: string): boolean {
-  return id !== "" && id.length <= PART_EVIDENCE_LIMITS.idLength;
-}
--- a/packages/coordination/src/encode_part_evidence.ts
+++ b/packages/coordination/src/encode_part_evidence.ts
@@ -3,6 +3,7 @@
   PartSuspicionSchema,
   RunnerLossSchema,
 } from "@jujubeladder/protocol";
+import { isSoundId } from "./is_sound_id.js";
 import { PART_EVIDENCE_LIMITS } from "./part_evidence_limits.js";
 import type { PartSuspicion } from "./part_suspicion.js";
 
@@ -27,7 +28,7 @@
     return index;
   };
   const partSuspicions = entries
-    .filter(({ partId }) => isSendable(partId))
+    .filter(({ partId }) => isSoundId(partId))
     .slice(0, PART_EVIDENCE_LIMITS.parts)
     .map(({ partId, losses, livedAgeMs }) => {
       const livedMs = toAgeMs(livedAgeMs);
@@ -35,7 +36,7 @@
         .slice(0, PART_EVIDENCE_LIMITS.lossesPerPart)
         .flatMap(({ incarnationId, ageMs }) => {
           const lossMs = toAgeMs(ageMs);
-          return isSendable(incarnationId) && lossMs !== undefined
+          return isSoundId(incarnationId) && lossMs !== undefined
             ? [toIndex(incarnationId, lossMs)]
             : [];
         });
@@ -48,10 +49,6 @@
   return { partSuspicions, runnerLosses };
 }
 
-function isSendable(id: string): boolean {
-  return id !== "" && id.length <= PART_EVIDENCE_LIMITS.idLength;
-}
-
 function toAgeMs(ageMs: number | undefined): number | undefined {
   if (ageMs === undefined || Number.isNaN(ageMs)) return undefined;
   return Math.min(Math.max(0, Math.round(ageMs)), MAX_AGE_MS);
--- a/packages/coordination/src/is_sound_id.ts
+++ b/packages/coordination/src/is_sound_id.ts
@@ -1,7 +1,6 @@
-/** Ids come from callers and peers. */
-const MAX_ID_LENGTH = 128;
+import { PART_EVIDENCE_LIMITS } from "./part_evidence_limits.js";
 
-/** True if an id is neither empty nor too long to be recorded. */
+/** True if an id is neither empty nor too long to be recorded and told. */
 export function isSoundId(id: string): boolean {
-  return id.length > 0 && id.length <= MAX_ID_LENGTH;
+  return id !== "" && id.length <= PART_EVIDENCE_LIMITS.idLength;
 }
--- a/packages/coordination/src/part_record.ts
+++ b/packages/coordination/src/part_record.ts
@@ -1,14 +1,13 @@
 import { maxElapsedMs } from "@jujubeladder/utils";
 import type { ClockReading } from "@jujubeladder/utils";
 import { clocksBefore } from "./clocks_before.js";
+import { PART_EVIDENCE_LIMITS } from "./part_evidence_limits.js";
 import type { PartSuspicion } from "./part_suspicion.js";
 
 /** Losses kept of a part; the oldest are dropped first. */
 const MAX_LOSSES = 32;
 /** Engines that fail within this time may have failed for one cause. */
 const LOSS_SPACING_MS = 250;
-/** Losses told of a part; the newest are told. */
-const MAX_TOLD_LOSSES = 8;
 /**
  * How far a report may date a known loss back. A peer whose clock was set
  * forward would otherwise end verdicts everywhere.
@@ -111,7 +110,7 @@
     );
     return {
       partId,
-      losses: losses.slice(0, MAX_TOLD_LOSSES),
+      losses: losses.slice(0, PART_EVIDENCE_LIMITS.lossesPerPart),
       livedAgeMs: this.#livedAt && livedAgeMs,
     };
   }
--- a/packages/coordination/src/to_sound_suspicion.ts
+++ b/packages/coordination/src/to_sound_suspicion.ts
@@ -1,8 +1,7 @@
 import { isSoundId } from "./is_sound_id.js";
+import { PART_EVIDENCE_LIMITS } from "./part_evidence_limits.js";
 import type { PartSuspicion } from "./part_suspicion.js";
 
-const MAX_LOSSES = 8;
-
 /**
  * Returns a suspicion without what cannot be recorded (ids that are empty or
  * too long, ages that are no time), or undefined if no loss remains.
@@ -12,7 +11,7 @@
 ): PartSuspicion | undefined {
   const { partId, livedAgeMs } = suspicion;
   const losses = suspicion.losses
-    .slice(0, MAX_LOSSES)
+    .slice(0, PART_EVIDENCE_LIMITS.lossesPerPart)
     .filter(
       ({ incarnationId, ageMs }) => isSoundId(incarnationId) && isAge(ageMs),
     );
