Show how near an instance is to its retry budget

Cause: the logs name each attempt, but not what the budget allowed and what was spent of it, so that the hypotheses on arrivals over the budget can't be told apart. Ruled out: counting arrivals from the logs alone, which does not show what an instance believed that it was allowed. Change: gauges of spent and allowed per service, counters of retries and resumptions sent, and a line for a retry that is refused. No decision changes.

--- a/packages/gateway/src/decisions/fleet_retry_budget.ts
+++ b/packages/gateway/src/decisions/fleet_retry_budget.ts
@@ -1,5 +1,6 @@
 import { monotonicMs } from "@jujubeladder/utils";
 import { dropBefore } from "./drop_before.js";
+import type { RetryBudgetUse } from "./retry_budget_use.js";
 
 /** Limits the attempts at a service beyond the first of each request. */
 interface RetryLimits {
@@ -37,12 +38,25 @@
 
   /** Reserves one retry; returns false if the window's budget is exhausted. */
   tryAcquire(serviceId: string): boolean {
+    const { spent, allowed } = this.getUse(serviceId);
+    if (spent + 1 > allowed) return false;
+    this.#attemptsOf(serviceId).retriesAtMs.push(monotonicMs());
+    return true;
+  }
+
+  /** The service's budget in the window that ends now. */
+  getUse(serviceId: string): RetryBudgetUse {
     const { requestsAtMs, retriesAtMs } = this.#attemptsOf(serviceId);
     const share = this.#limits.fleetSlack / Math.max(1, this.#countInstances());
-    const allowed = requestsAtMs.length * this.#limits.ratio + share;
-    if (retriesAtMs.length + 1 > allowed) return false;
-    retriesAtMs.push(monotonicMs());
-    return true;
+    return {
+      spent: retriesAtMs.length,
+      allowed: requestsAtMs.length * this.#limits.ratio + share,
+    };
+  }
+
+  /** The services that requests were recorded for. */
+  listServices(): readonly string[] {
+    return [...this.#byService.keys()];
   }
 
   #attemptsOf(serviceId: string): Attempts {
--- a/packages/gateway/src/relay/request_relay.ts
+++ b/packages/gateway/src/relay/request_relay.ts
@@ -195,6 +195,7 @@
       return undefined;
     const isRetry = progress.sendCount > 0;
     if (isRetry && !retryBudget.tryAcquire(service.serviceId)) {
+      this.#logRetryRefused(context);
       progress.lastReason += ", no retries are left";
       return undefined;
     }
@@ -280,6 +281,8 @@
       }
       const sentAtMs = monotonicMs();
       progress.sendCount += 1;
+      if (progress.sendCount > 1)
+        this.#dependencies.metrics.count(continueFrom ? "resumes" : "retries");
       this.#sendRate.record();
       migration?.onCloseSource(() => {
         connection.close();
@@ -474,6 +477,16 @@
       : refuse({ type: "may_have_run", reason });
   }
 
+  #logRetryRefused({ request, service: { serviceId } }: RequestContext): void {
+    const { spent, allowed } = this.#dependencies.retryBudget.getUse(serviceId);
+    this.#dependencies.logger.info("retry_refused", {
+      request: request.requestId,
+      service: serviceId,
+      spent,
+      allowed,
+    });
+  }
+
   #recordSuccess(context: RequestContext, runner: GatewayRunner): void {
     const { outliers, quarantine } = this.#dependencies;
     outliers.record(runner.runnerId, false);
--- a/packages/gateway/src/server/gateway_instance.ts
+++ b/packages/gateway/src/server/gateway_instance.ts
@@ -16,6 +16,7 @@
 import { OutlierScores } from "../decisions/outlier_scores.js";
 import { StoreReaderSelector } from "../decisions/store_reader_selector.js";
 import { FleetRetryBudget } from "../decisions/fleet_retry_budget.js";
+import { formatRetryBudget } from "../decisions/format_retry_budget.js";
 import { createMembership } from "../mesh/create_membership.js";
 import { PeerRoster } from "../mesh/peer_roster.js";
 import { PeerStoreReaderProvider } from "../mesh/peer_store_reader_provider.js";
@@ -64,6 +65,7 @@
   readonly #membership: Membership;
   readonly #peers: PeerDirectory;
   readonly #peerDatagrams: PeerDatagrams;
+  readonly #retryBudget: FleetRetryBudget;
   readonly #relay: RequestRelay;
   readonly #callerServer: CallerServer;
   readonly #leavePoller: LeavePoller;
@@ -183,6 +185,9 @@
         this.#configHealth.isHealthy && this.#runnersHealth.isHealthy,
       logger,
     });
+    this.#retryBudget = new FleetRetryBudget(settings.retry, () =>
+      Math.max(MIN_FLEET_SIZE, this.#roster.peakInstanceCount),
+    );
     const exitAtMs = () => this.#plannedStop.exitAtMs;
     const relay = new RequestRelay({
       codec,
@@ -199,9 +204,7 @@
       }),
       directory: this.#directory,
       outliers,
-      retryBudget: new FleetRetryBudget(settings.retry, () =>
-        Math.max(MIN_FLEET_SIZE, this.#roster.peakInstanceCount),
-      ),
+      retryBudget: this.#retryBudget,
       quarantine,
       partQuarantine,
       partEvidence,
@@ -384,6 +387,7 @@
       `jujubeladder_config_age_ms ${this.#activeConfig.confirmedAgeMs}`,
       `jujubeladder_runners ${this.#directory.size}`,
       `jujubeladder_log_lines_dropped_total ${this.#droppedLogLines()}`,
+      ...formatRetryBudget(this.#retryBudget),
     ];
     return `${this.#metrics.toPrometheusText()}${gauges.join("\n")}\n`;
   }
