Book resumed runs in the retry budget

Callers saw: nothing yet; the users report more arrivals at an engine service than its retries allow. Cause: a run that goes on at another runner is an arrival beyond the first of its request, and took nothing from the budget, as the relay returned its runner before it asked for a retry. Change: a resumption is booked, before its run is ordered to stop. Without budget the run is left where it is until its runner exits. Retries leave a quarter of the share to resumptions, since a refused request can come again and a stream that can't resume is lost. Ruled out: resumptions that are counted but always pass, which leaves the limit open to any number of notices.

--- a/packages/gateway/src/__tests__/fleet_retry_budget.test.ts
+++ b/packages/gateway/src/__tests__/fleet_retry_budget.test.ts
@@ -11,7 +11,7 @@
   for (let index = 0; index < instances; index += 1) {
     const budget = new FleetRetryBudget(LIMITS, () => instances);
     for (let n = 0; n < requestsEach; n += 1) budget.recordRequest("s");
-    while (budget.tryAcquire("s")) taken += 1;
+    while (budget.book("s", "resumption")) taken += 1;
   }
   const limit = LIMITS.ratio * instances * requestsEach + LIMITS.fleetSlack;
   assert.ok(taken <= limit, `${taken} of ${limit}`);
@@ -20,9 +20,28 @@
 
 test("services do not share a budget", () => {
   const budget = new FleetRetryBudget(LIMITS, () => 50);
-  assert.ok(budget.tryAcquire("a"));
-  assert.not(budget.tryAcquire("a"));
-  assert.ok(budget.tryAcquire("b"));
+  assert.ok(budget.book("a", "retry"));
+  assert.not(budget.book("a", "retry"));
+  assert.ok(budget.book("b", "retry"));
+});
+
+test("retries leave a part of the budget to resumptions", () => {
+  const budget = new FleetRetryBudget(LIMITS, () => 5);
+  let retries = 0;
+  while (budget.book("s", "retry")) retries += 1;
+  let resumptions = 0;
+  while (budget.book("s", "resumption")) resumptions += 1;
+  assert.is(retries + resumptions, 10);
+  assert.ok(resumptions >= 2, `${resumptions}`);
+});
+
+test("an attempt that is not sent returns its budget", () => {
+  const budget = new FleetRetryBudget(LIMITS, () => 50);
+  const booking = budget.book("s", "retry");
+  booking?.release();
+  booking?.release();
+  assert.ok(budget.book("s", "retry"));
+  assert.not(budget.book("s", "retry"));
 });
 
 test.run();
--- a/packages/gateway/src/__tests__/run_migration.test.ts
+++ b/packages/gateway/src/__tests__/run_migration.test.ts
@@ -99,6 +99,10 @@
       choose: () => createRunner("target"),
       reserve: () => () => undefined,
     },
+    bookResumption: () => ({
+      recordSent: () => undefined,
+      release: () => undefined,
+    }),
     logger: new Logger({}),
   });
   migration.start(monotonicMs() + scenario.exitsInMs);
--- a/packages/gateway/src/decisions/fleet_retry_budget.ts
+++ b/packages/gateway/src/decisions/fleet_retry_budget.ts
@@ -1,6 +1,14 @@
 import { monotonicMs } from "@jujubeladder/utils";
 import { dropBefore } from "./drop_before.js";
+import type { RetryBooking } from "./retry_booking.js";
 import type { RetryBudgetUse } from "./retry_budget_use.js";
+import type { RetryKind } from "./retry_kind.js";
+
+/**
+ * Share of the budget that retries leave to resumptions: a refused retry can be
+ * sent again by its caller, a stream that can't resume is lost.
+ */
+const RESUMPTION_RESERVE = 0.25;
 
 /** Limits the attempts at a service beyond the first of each request. */
 interface RetryLimits {
@@ -13,7 +21,14 @@
 
 interface Attempts {
   readonly requestsAtMs: number[];
-  readonly retriesAtMs: number[];
+  readonly byKind: Readonly<Record<RetryKind, Repeats>>;
+}
+
+/** Attempts beyond the first of their request. */
+interface Repeats {
+  readonly sentAtMs: number[];
+  /** Booked and not sent yet. */
+  bookedCount: number;
 }
 
 /**
@@ -36,20 +51,38 @@
     this.#attemptsOf(serviceId).requestsAtMs.push(monotonicMs());
   }
 
-  /** Reserves one retry; returns false if the window's budget is exhausted. */
-  tryAcquire(serviceId: string): boolean {
+  /**
+   * Books an attempt beyond the first of its request; undefined if the window's
+   * budget does not allow it.
+   */
+  book(serviceId: string, kind: RetryKind): RetryBooking | undefined {
     const { spent, allowed } = this.getUse(serviceId);
-    if (spent + 1 > allowed) return false;
-    this.#attemptsOf(serviceId).retriesAtMs.push(monotonicMs());
-    return true;
+    if (spent + 1 > allowed) return undefined;
+    const repeats = this.#attemptsOf(serviceId).byKind[kind];
+    const limit = kind === "retry" ? limitRetries(allowed) : allowed;
+    if (countSpent(repeats) + 1 > limit) return undefined;
+    repeats.bookedCount += 1;
+    const bookedAtMs = monotonicMs();
+    let isOpen = true;
+    const close = () => {
+      if (isOpen) repeats.bookedCount -= 1;
+      isOpen = false;
+    };
+    return {
+      recordSent: () => {
+        if (isOpen) repeats.sentAtMs.push(bookedAtMs);
+        close();
+      },
+      release: close,
+    };
   }
 
   /** The service's budget in the window that ends now. */
   getUse(serviceId: string): RetryBudgetUse {
-    const { requestsAtMs, retriesAtMs } = this.#attemptsOf(serviceId);
+    const { requestsAtMs, byKind } = this.#attemptsOf(serviceId);
     const share = this.#limits.fleetSlack / Math.max(1, this.#countInstances());
     return {
-      spent: retriesAtMs.length,
+      spent: countSpent(byKind.retry) + countSpent(byKind.resumption),
       allowed: requestsAtMs.length * this.#limits.ratio + share,
     };
   }
@@ -62,12 +95,26 @@
   #attemptsOf(serviceId: string): Attempts {
     const attempts = this.#byService.get(serviceId) ?? {
       requestsAtMs: [],
-      retriesAtMs: [],
+      byKind: {
+        retry: { sentAtMs: [], bookedCount: 0 },
+        resumption: { sentAtMs: [], bookedCount: 0 },
+      },
     };
     this.#byService.set(serviceId, attempts);
+    const { requestsAtMs, byKind } = attempts;
     const sinceMs = monotonicMs() - this.#limits.windowMs;
-    dropBefore(attempts.requestsAtMs, sinceMs);
-    dropBefore(attempts.retriesAtMs, sinceMs);
+    dropBefore(requestsAtMs, sinceMs);
+    dropBefore(byKind.retry.sentAtMs, sinceMs);
+    dropBefore(byKind.resumption.sentAtMs, sinceMs);
     return attempts;
   }
 }
+
+function countSpent({ sentAtMs, bookedCount }: Repeats): number {
+  return sentAtMs.length + bookedCount;
+}
+
+// A small share allows a retry all the same.
+function limitRetries(allowed: number): number {
+  return Math.max(1, allowed * (1 - RESUMPTION_RESERVE));
+}
--- /dev/null
+++ b/packages/gateway/src/decisions/retry_booking.ts
@@ -0,0 +1,7 @@
+/** One attempt beyond the first of its request, held in the retry budget. */
+export interface RetryBooking {
+  /** Counts the attempt as sent. */
+  recordSent(): void;
+  /** Returns the budget, unless the attempt has been sent. */
+  release(): void;
+}
--- a/packages/gateway/src/relay/relay_progress.ts
+++ b/packages/gateway/src/relay/relay_progress.ts
@@ -1,4 +1,5 @@
 import type { FailureBlame } from "../decisions/failure_blame.js";
+import type { RetryBooking } from "../decisions/retry_booking.js";
 import type { GatewayRunner } from "../model/gateway_runner.js";
 import type { KvCacheRef } from "../model/kv_cache_ref.js";
 import type { AbandonedRun } from "./abandoned_run.js";
@@ -27,8 +28,15 @@
   lastConnection: AttemptConnection | undefined;
   /** A run to stop before the request is sent to another runner. */
   abandonedRun: AbandonedRun | undefined;
+  /** Budget of the attempt that comes next, unless it is the first. */
+  booking: RetryBooking | undefined;
   /** Where a migrated run resumes; takes precedence over placement. */
   continueAt:
-    | { readonly runner: GatewayRunner; readonly cacheRef: KvCacheRef }
+    | {
+        readonly runner: GatewayRunner;
+        readonly cacheRef: KvCacheRef;
+        /** Absent if the run stopped by itself. */
+        readonly booking: RetryBooking | undefined;
+      }
     | undefined;
 }
--- a/packages/gateway/src/relay/request_relay.ts
+++ b/packages/gateway/src/relay/request_relay.ts
@@ -9,7 +9,6 @@
 import type { OutlierScores } from "../decisions/outlier_scores.js";
 import { RateMeter } from "../decisions/rate_meter.js";
 import { refuseWhileStopping } from "../decisions/refuse_while_stopping.js";
-import type { FleetRetryBudget } from "../decisions/fleet_retry_budget.js";
 import type { GatewayCodec } from "../model/gateway_codec.js";
 import type { GatewayRunner } from "../model/gateway_runner.js";
 import type { Refusal } from "../model/refusal.js";
@@ -31,6 +30,7 @@
 import { rejectAmbiguousEnd } from "./reject_ambiguous_end.js";
 import { remainingMs } from "./remaining_ms.js";
 import { runAttempt } from "./run_attempt.js";
+import type { RetryBooker } from "./retry_booker.js";
 import type { RunMigrator } from "./run_migrator.js";
 import type { RunnerNotices } from "./runner_notices.js";
 import { StreamSession } from "./stream_session.js";
@@ -51,6 +51,7 @@
  * so only attempts on hanging runners are abandoned.
  */
 const STREAM_FIRST_BYTE_SHARE = 1.5;
+const NO_RETRIES = ", no retries are left";
 const NO_PLACEMENT_REASONS = {
   no_capacity: "no runner has room",
   all_paused: "all runners pause",
@@ -68,7 +69,7 @@
   readonly notices: RunnerNotices;
   readonly directory: RunnerDirectory;
   readonly outliers: OutlierScores;
-  readonly retryBudget: FleetRetryBudget;
+  readonly retries: RetryBooker;
   readonly quarantine: Quarantine;
   readonly partQuarantine: PartQuarantine;
   readonly partEvidence: PartEvidenceRecorder;
@@ -112,7 +113,7 @@
             },
           })
         : undefined;
-    this.#dependencies.retryBudget.recordRequest(service.serviceId);
+    this.#dependencies.retries.recordRequest(context);
     const progress: RelayProgress = {
       excludedRunnerIds: new Set(),
       sendCount: 0,
@@ -123,6 +124,7 @@
       failures: new FailureBlame(),
       lastConnection: undefined,
       abandonedRun: undefined,
+      booking: undefined,
       continueAt: undefined,
     };
     const outcome = await this.#runAttempts(context, session, progress);
@@ -153,7 +155,10 @@
         return this.#giveUp(context, progress);
       if (remainingMs(context) <= 0) return this.#giveUp(context, progress);
       const runner = await this.#findRunner(context, progress);
-      if (!runner) return this.#giveUp(context, progress);
+      if (!runner) {
+        progress.booking?.release();
+        return this.#giveUp(context, progress);
+      }
       const isResumption = progress.continueAt !== undefined;
       const outcome = await this.#attempt(context, session, {
         runner,
@@ -184,20 +189,29 @@
     progress: RelayProgress,
   ): Promise<GatewayRunner | undefined> {
     const { continueAt } = progress;
-    if (continueAt) return continueAt.runner;
+    const { scheduler, migrator, retries } = this.#dependencies;
+    if (continueAt) {
+      progress.booking =
+        continueAt.booking ?? retries.book(context, "resumption");
+      if (progress.booking) return continueAt.runner;
+      progress.lastReason += NO_RETRIES;
+      void migrator.dropCopy(continueAt.cacheRef);
+      return undefined;
+    }
     if (this.#findObstacle(context)) return undefined;
     const { route, service, request, response } = context;
-    const { scheduler, retryBudget } = this.#dependencies;
     if (progress.mayHaveExecuted && !mayRetry(route.retryPolicy))
       return undefined;
     if (progress.sendCount >= MAX_SENDS) return undefined;
     if (progress.executionCount >= Math.max(1, route.maxAttempts))
       return undefined;
     const isRetry = progress.sendCount > 0;
-    if (isRetry && !retryBudget.tryAcquire(service.serviceId)) {
-      this.#logRetryRefused(context);
-      progress.lastReason += ", no retries are left";
-      return undefined;
+    if (isRetry) {
+      progress.booking = retries.book(context, "retry");
+      if (!progress.booking) {
+        progress.lastReason += NO_RETRIES;
+        return undefined;
+      }
     }
     const elapsedMs = monotonicMs() - context.receivedAtMs;
     const targetMs = route.targetLatencyMs * QUEUE_WAIT_SHARE - elapsedMs;
@@ -281,8 +295,10 @@
       }
       const sentAtMs = monotonicMs();
       progress.sendCount += 1;
-      if (progress.sendCount > 1)
+      if (progress.booking) {
+        progress.booking.recordSent();
         this.#dependencies.metrics.count(continueFrom ? "resumes" : "retries");
+      }
       this.#sendRate.record();
       migration?.onCloseSource(() => {
         connection.close();
@@ -349,6 +365,7 @@
           progress.continueAt = {
             runner: state.runner,
             cacheRef: state.cacheRef,
+            booking: migration.takeBooking(),
           };
         }
       }
@@ -363,6 +380,8 @@
       return outcome;
     } finally {
       scheduler.release(placement);
+      progress.booking?.release();
+      progress.booking = undefined;
       if (migration) this.#dependencies.migrator.untrack(runner, migration);
     }
   }
@@ -477,16 +496,6 @@
       : refuse({ type: "may_have_run", reason });
   }
 
-  #logRetryRefused({ request, service: { serviceId } }: RequestContext): void {
-    const { spent, allowed } = this.#dependencies.retryBudget.getUse(serviceId);
-    this.#dependencies.logger.info("retry_refused", {
-      request: request.requestId,
-      service: serviceId,
-      spent,
-      allowed,
-    });
-  }
-
   #recordSuccess(context: RequestContext, runner: GatewayRunner): void {
     const { outliers, quarantine } = this.#dependencies;
     outliers.record(runner.runnerId, false);
--- a/packages/gateway/src/relay/run_migration.ts
+++ b/packages/gateway/src/relay/run_migration.ts
@@ -1,6 +1,7 @@
 import type { Logger } from "@jujubeladder/logger";
 import { monotonicMs, settleWithin, sleep } from "@jujubeladder/utils";
 import { advanceMigration } from "../decisions/advance_migration.js";
+import type { RetryBooking } from "../decisions/retry_booking.js";
 import type { MigrationEvent } from "../decisions/migration_event.js";
 import type { MigrationAction } from "../decisions/migration_action.js";
 import type { MigrationState } from "../decisions/migration_state.js";
@@ -48,6 +49,7 @@
   readonly #requestId: string;
   readonly #control: EngineControl;
   readonly #targets: MigrationTargets;
+  readonly #bookResumption: () => RetryBooking | undefined;
   readonly #logger: Logger;
   readonly #refusedRunnerIds = new Set<string>();
   /** Handles of the copies that may still occupy memory. */
@@ -56,6 +58,7 @@
   /** Set when the source's stream has ended. */
   readonly #streamEnded = new EndSignal();
   #state: MigrationState = { type: "idle" };
+  #booking: RetryBooking | undefined;
   #isResuming = false;
   #sourceExitAtMs = Number.POSITIVE_INFINITY;
   #task: Promise<void> | undefined;
@@ -67,12 +70,15 @@
     readonly requestId: string;
     readonly control: EngineControl;
     readonly targets: MigrationTargets;
+    /** Undefined while the retry budget does not allow a resumption. */
+    readonly bookResumption: () => RetryBooking | undefined;
     readonly logger: Logger;
   }) {
     this.#source = dependencies.source;
     this.#requestId = dependencies.requestId;
     this.#control = dependencies.control;
     this.#targets = dependencies.targets;
+    this.#bookResumption = dependencies.bookResumption;
     this.#logger = dependencies.logger;
   }
 
@@ -148,11 +154,19 @@
     return this.#state.type !== "confirming" || this.#state.proof !== undefined;
   }
 
+  /** Passes on the budget for the attempt with which the run resumes. */
+  takeBooking(): RetryBooking | undefined {
+    const booking = this.#booking;
+    this.#booking = undefined;
+    return booking;
+  }
+
   /** Ends the migration after the run ended or its caller disconnected. */
   finish(): void {
     this.#ended.end();
     this.#streamEnded.end();
     this.#releaseTarget();
+    this.takeBooking()?.release();
     if (this.#state.type !== "idle") this.#advance({ type: "run_ended" });
     this.#dropUnusedCopies();
   }
@@ -176,6 +190,10 @@
       switch (action.type) {
         case "wait_to_stop":
           await this.#waitForStopTime();
+          if (this.#ended.hasEnded) return;
+          // A run that could not resume is better off until its source exits.
+          this.#booking = this.#bookResumption();
+          if (!this.#booking) return;
           action = this.#advance({ type: "time_to_stop" });
           break;
         case "copy_later":
--- a/packages/gateway/src/relay/run_migrator.ts
+++ b/packages/gateway/src/relay/run_migrator.ts
@@ -5,10 +5,12 @@
 import { estimatePeakTokens } from "../decisions/estimate_peak_tokens.js";
 import type { EngineControl } from "../model/engine_control.js";
 import type { GatewayRunner } from "../model/gateway_runner.js";
+import type { KvCacheRef } from "../model/kv_cache_ref.js";
 import type { RunnerDirectory } from "../views/runner_directory.js";
 import type { PlacementScheduler } from "./placement_scheduler.js";
 import type { RequestContext } from "./request_context.js";
 import type { AbandonedRun } from "./abandoned_run.js";
+import type { RetryBooker } from "./retry_booker.js";
 import { RunMigration } from "./run_migration.js";
 import { stopAbandonedRun } from "./stop_abandoned_run.js";
 
@@ -23,6 +25,7 @@
   readonly control: EngineControl;
   readonly scheduler: PlacementScheduler;
   readonly directory: RunnerDirectory;
+  readonly retries: RetryBooker;
   readonly metrics: Metrics;
   readonly logger: Logger;
 }
@@ -50,12 +53,13 @@
     const { service, request } = context;
     const { engine } = service;
     if (!engine?.canMigrate) return undefined;
-    const { control, scheduler, logger } = this.#dependencies;
+    const { control, scheduler, retries, logger } = this.#dependencies;
     const migration = new RunMigration({
       source: runner,
       requestId: request.requestId,
       control,
       logger,
+      bookResumption: () => retries.book(context, "resumption"),
       targets: {
         choose: (refusedRunnerIds) =>
           chooseMigrationTarget(
@@ -111,6 +115,11 @@
     });
   }
 
+  /** Frees the copy of a run that does not resume. */
+  async dropCopy(cacheRef: KvCacheRef): Promise<void> {
+    await this.#dependencies.control.dropCopy(cacheRef);
+  }
+
   /** Lists the runners with tracked runs. */
   listSources(): readonly GatewayRunner[] {
     const { directory } = this.#dependencies;
--- a/packages/gateway/src/server/gateway_instance.ts
+++ b/packages/gateway/src/server/gateway_instance.ts
@@ -32,6 +32,7 @@
 import { PartEvidenceRecorder } from "../relay/part_evidence_recorder.js";
 import { PlacementScheduler } from "../relay/placement_scheduler.js";
 import { RequestRelay } from "../relay/request_relay.js";
+import { RetryBooker } from "../relay/retry_booker.js";
 import { RunMigrator } from "../relay/run_migrator.js";
 import { RunnerNotices } from "../relay/runner_notices.js";
 import { ConnectionPool } from "../transport/connection_pool.js";
@@ -162,10 +163,15 @@
       location: { availabilityZone, region },
       countInstances: () => this.#roster.peakInstanceCount,
     });
+    this.#retryBudget = new FleetRetryBudget(settings.retry, () =>
+      Math.max(MIN_FLEET_SIZE, this.#roster.peakInstanceCount),
+    );
+    const retries = new RetryBooker(this.#retryBudget, logger);
     const migrator = new RunMigrator({
       control,
       scheduler,
       directory: this.#directory,
+      retries,
       metrics: this.#metrics,
       logger,
     });
@@ -185,9 +191,6 @@
         this.#configHealth.isHealthy && this.#runnersHealth.isHealthy,
       logger,
     });
-    this.#retryBudget = new FleetRetryBudget(settings.retry, () =>
-      Math.max(MIN_FLEET_SIZE, this.#roster.peakInstanceCount),
-    );
     const exitAtMs = () => this.#plannedStop.exitAtMs;
     const relay = new RequestRelay({
       codec,
@@ -204,7 +207,7 @@
       }),
       directory: this.#directory,
       outliers,
-      retryBudget: this.#retryBudget,
+      retries,
       quarantine,
       partQuarantine,
       partEvidence,
