Count a retry in the window in which it is sent

Cause: a retry was booked when it was chosen, before its wait for capacity of up to nine tenths of the target latency. Its arrival then fell into the next window, beside that window's whole share, so that a fleet could reach twice its limit. Change: budget is held from the booking on and counts for a window from the sending on. Ruled out: booking only at the sending, which would let a request wait for a place that it may not use. Measured: 'a retry that waited for capacity does not reach the next window beside that one's share' fails on the commit before and passes with this one.

--- a/packages/gateway/src/__tests__/fleet_retry_budget.test.ts
+++ b/packages/gateway/src/__tests__/fleet_retry_budget.test.ts
@@ -1,3 +1,4 @@
+import { sleep } from "@jujubeladder/utils";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import { FleetRetryBudget } from "../decisions/fleet_retry_budget.js";
@@ -44,4 +45,16 @@
   assert.not(budget.book("s", "retry"));
 });
 
+test("a retry that waited for capacity does not reach the next window beside that one's share", async () => {
+  const limits = { ratio: 0, fleetSlack: 1, windowMs: 200 };
+  const budget = new FleetRetryBudget(limits, () => 1);
+  const booking = budget.book("s", "retry");
+  await sleep(150);
+  booking?.recordSent();
+  await sleep(100);
+  assert.not(budget.book("s", "retry"));
+  await sleep(150);
+  assert.ok(budget.book("s", "retry"));
+});
+
 test.run();
--- a/packages/gateway/src/decisions/fleet_retry_budget.ts
+++ b/packages/gateway/src/decisions/fleet_retry_budget.ts
@@ -62,7 +62,6 @@
     const limit = kind === "retry" ? limitRetries(allowed) : allowed;
     if (countSpent(repeats) + 1 > limit) return undefined;
     repeats.bookedCount += 1;
-    const bookedAtMs = monotonicMs();
     let isOpen = true;
     const close = () => {
       if (isOpen) repeats.bookedCount -= 1;
@@ -70,7 +69,7 @@
     };
     return {
       recordSent: () => {
-        if (isOpen) repeats.sentAtMs.push(bookedAtMs);
+        if (isOpen) repeats.sentAtMs.push(monotonicMs());
         close();
       },
       release: close,
