Give a restarted instance no slack that its last life may have spent

Cause: the budget is kept in memory. An instance that restarted got its share of the fleet's slack anew, so that a fleet which was killed or rolled in the middle of trouble could send nearly twice its limit within a window. Ruled out: peers that remember what each instance spent: a killed instance's last second is lost, and the sum of the samples bounds nothing. Measured: 'a restarted instance does not get the slack that its last life spent' fails with the slack given at once and passes with this commit.

--- a/packages/gateway/src/__tests__/fleet_retry_budget.test.ts
+++ b/packages/gateway/src/__tests__/fleet_retry_budget.test.ts
@@ -3,6 +3,7 @@
 import * as assert from "uvu/assert";
 import { FleetRetryBudget } from "../decisions/fleet_retry_budget.js";
 
+const FIRST_START = { isFirstStart: true };
 const LIMITS = { ratio: 0.2, fleetSlack: 50, windowMs: 10_000 };
 
 test("the instances together stay within the fleet's limit", () => {
@@ -10,7 +11,7 @@
   const requestsEach = 100;
   let taken = 0;
   for (let index = 0; index < instances; index += 1) {
-    const budget = new FleetRetryBudget(LIMITS, () => instances);
+    const budget = new FleetRetryBudget(LIMITS, () => instances, FIRST_START);
     for (let n = 0; n < requestsEach; n += 1) budget.recordRequest("s");
     while (budget.book("s", "resumption")) taken += 1;
   }
@@ -20,14 +21,14 @@
 });
 
 test("services do not share a budget", () => {
-  const budget = new FleetRetryBudget(LIMITS, () => 50);
+  const budget = new FleetRetryBudget(LIMITS, () => 50, FIRST_START);
   assert.ok(budget.book("a", "retry"));
   assert.not(budget.book("a", "retry"));
   assert.ok(budget.book("b", "retry"));
 });
 
 test("retries leave a part of the budget to resumptions", () => {
-  const budget = new FleetRetryBudget(LIMITS, () => 5);
+  const budget = new FleetRetryBudget(LIMITS, () => 5, FIRST_START);
   let retries = 0;
   while (budget.book("s", "retry")) retries += 1;
   let resumptions = 0;
@@ -37,7 +38,7 @@
 });
 
 test("an attempt that is not sent returns its budget", () => {
-  const budget = new FleetRetryBudget(LIMITS, () => 50);
+  const budget = new FleetRetryBudget(LIMITS, () => 50, FIRST_START);
   const booking = budget.book("s", "retry");
   booking?.release();
   booking?.release();
@@ -47,7 +48,7 @@
 
 test("a retry that waited for capacity does not reach the next window beside that one's share", async () => {
   const limits = { ratio: 0, fleetSlack: 1, windowMs: 200 };
-  const budget = new FleetRetryBudget(limits, () => 1);
+  const budget = new FleetRetryBudget(limits, () => 1, FIRST_START);
   const booking = budget.book("s", "retry");
   await sleep(150);
   booking?.recordSent();
@@ -57,4 +58,18 @@
   assert.ok(budget.book("s", "retry"));
 });
 
+test("a restarted instance does not get the slack that its last life spent", async () => {
+  const limits = { ratio: 0.5, fleetSlack: 4, windowMs: 150 };
+  const before = new FleetRetryBudget(limits, () => 1, FIRST_START);
+  let spent = 0;
+  while (before.book("s", "retry")) spent += 1;
+  const after = new FleetRetryBudget(limits, () => 1, { isFirstStart: false });
+  after.recordRequest("s");
+  after.recordRequest("s");
+  while (after.book("s", "retry")) spent += 1;
+  assert.ok(spent <= limits.fleetSlack + 1, `${spent}`);
+  await sleep(limits.windowMs + 20);
+  assert.ok(after.book("s", "retry"), "the window has passed");
+});
+
 test.run();
--- a/packages/gateway/src/decisions/fleet_retry_budget.ts
+++ b/packages/gateway/src/decisions/fleet_retry_budget.ts
@@ -40,11 +40,21 @@
 export class FleetRetryBudget {
   readonly #limits: RetryLimits;
   readonly #countInstances: () => number;
+  readonly #slackFromMs: number;
   readonly #byService = new Map<string, Attempts>();
 
-  constructor(limits: RetryLimits, countInstances: () => number) {
+  /**
+   * Unless the fleet starts for the first time, an earlier life of this instance
+   * may have spent its share of the slack within the window.
+   */
+  constructor(
+    limits: RetryLimits,
+    countInstances: () => number,
+    { isFirstStart }: { readonly isFirstStart: boolean },
+  ) {
     this.#limits = limits;
     this.#countInstances = countInstances;
+    this.#slackFromMs = monotonicMs() + (isFirstStart ? 0 : limits.windowMs);
   }
 
   recordRequest(serviceId: string): void {
@@ -79,10 +89,9 @@
   /** The service's budget in the window that ends now. */
   getUse(serviceId: string): RetryBudgetUse {
     const { requestsAtMs, byKind } = this.#attemptsOf(serviceId);
-    const share = this.#limits.fleetSlack / Math.max(1, this.#countInstances());
     return {
       spent: countSpent(byKind.retry) + countSpent(byKind.resumption),
-      allowed: requestsAtMs.length * this.#limits.ratio + share,
+      allowed: requestsAtMs.length * this.#limits.ratio + this.#slackShare,
     };
   }
 
@@ -91,6 +100,11 @@
     return [...this.#byService.keys()];
   }
 
+  get #slackShare(): number {
+    if (monotonicMs() < this.#slackFromMs) return 0;
+    return this.#limits.fleetSlack / Math.max(1, this.#countInstances());
+  }
+
   #attemptsOf(serviceId: string): Attempts {
     const attempts = this.#byService.get(serviceId) ?? {
       requestsAtMs: [],
--- a/packages/gateway/src/server/gateway_instance.ts
+++ b/packages/gateway/src/server/gateway_instance.ts
@@ -163,8 +163,10 @@
       location: { availabilityZone, region },
       countInstances: () => this.#roster.peakInstanceCount,
     });
-    this.#retryBudget = new FleetRetryBudget(settings.retry, () =>
-      Math.max(MIN_FLEET_SIZE, this.#roster.peakInstanceCount),
+    this.#retryBudget = new FleetRetryBudget(
+      settings.retry,
+      () => Math.max(MIN_FLEET_SIZE, this.#roster.peakInstanceCount),
+      settings,
     );
     const retries = new RetryBooker(this.#retryBudget, logger);
     const migrator = new RunMigrator({
--- a/packages/gateway/src/server/gateway_settings.ts
+++ b/packages/gateway/src/server/gateway_settings.ts
@@ -20,6 +20,8 @@
     readonly fleetSlack: number;
     readonly windowMs: number;
   };
+  /** True if no instance of the fleet has run before. */
+  readonly isFirstStart: boolean;
   /**
    * API keys are rejected if the configuration was last confirmed longer ago
    * than this; undefined sets no limit.
