Take no share of the retry slack before a peer has told the fleet's size

Cause: a fresh instance assumes a fleet of ten until it hears of more. One that was cut off from its peers from the start kept a share of a tenth, whatever the fleet's size. Change: with seeds but no word of any peer the size is not known, and only the ratio of its own requests holds. An instance without seeds is a fleet of its own. Ruled out: a larger assumed size, which is wrong for some fleet in any case. Measured: 'an instance that has heard no peer takes no share of a fleet of unknown size'; it could not be written before, as the roster did not tell.

--- a/packages/gateway/src/__tests__/fleet_retry_budget.test.ts
+++ b/packages/gateway/src/__tests__/fleet_retry_budget.test.ts
@@ -1,6 +1,7 @@
 import { sleep } from "@jujubeladder/utils";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
+import { PeerRoster } from "../mesh/peer_roster.js";
 import { FleetRetryBudget } from "../decisions/fleet_retry_budget.js";
 
 const FIRST_START = { isFirstStart: true };
@@ -72,4 +73,17 @@
   assert.ok(after.book("s", "retry"), "the window has passed");
 });
 
+test("an instance that has heard no peer takes no share of a fleet of unknown size", () => {
+  const roster = new PeerRoster("10.0.0.1:1", ["10.0.0.2:1"]);
+  const budget = new FleetRetryBudget(
+    LIMITS,
+    () => (roster.isSizeKnown ? roster.peakInstanceCount : undefined),
+    FIRST_START,
+  );
+  assert.not(budget.book("s", "retry"));
+  roster.recordKnownInstances(50);
+  assert.ok(budget.book("s", "retry"));
+  assert.not(budget.book("s", "retry"));
+});
+
 test.run();
--- a/packages/gateway/src/decisions/fleet_retry_budget.ts
+++ b/packages/gateway/src/decisions/fleet_retry_budget.ts
@@ -39,17 +39,18 @@
  */
 export class FleetRetryBudget {
   readonly #limits: RetryLimits;
-  readonly #countInstances: () => number;
+  readonly #countInstances: () => number | undefined;
   readonly #slackFromMs: number;
   readonly #byService = new Map<string, Attempts>();
 
   /**
    * Unless the fleet starts for the first time, an earlier life of this instance
-   * may have spent its share of the slack within the window.
+   * may have spent its share of the slack within the window. The share is not
+   * known, and so not used, while `countInstances` returns undefined.
    */
   constructor(
     limits: RetryLimits,
-    countInstances: () => number,
+    countInstances: () => number | undefined,
     { isFirstStart }: { readonly isFirstStart: boolean },
   ) {
     this.#limits = limits;
@@ -101,8 +102,10 @@
   }
 
   get #slackShare(): number {
-    if (monotonicMs() < this.#slackFromMs) return 0;
-    return this.#limits.fleetSlack / Math.max(1, this.#countInstances());
+    const instanceCount = this.#countInstances();
+    if (instanceCount === undefined || monotonicMs() < this.#slackFromMs)
+      return 0;
+    return this.#limits.fleetSlack / Math.max(1, instanceCount);
   }
 
   #attemptsOf(serviceId: string): Attempts {
--- a/packages/gateway/src/mesh/peer_roster.ts
+++ b/packages/gateway/src/mesh/peer_roster.ts
@@ -57,6 +57,14 @@
     return Math.max(this.#peakPeerCount + 1, this.#peakReportedCount);
   }
 
+  /**
+   * False until a peer has been heard of, unless there are no seeds: the fleet
+   * may then have any size.
+   */
+  get isSizeKnown(): boolean {
+    return this.#seeds.size === 0 || this.peakInstanceCount > 1;
+  }
+
   /**
    * Records the number of instances that a peer reports, unless no fleet is so
    * large: all peers pass the highest number on, and it never falls.
--- a/packages/gateway/src/server/gateway_instance.ts
+++ b/packages/gateway/src/server/gateway_instance.ts
@@ -165,7 +165,10 @@
     });
     this.#retryBudget = new FleetRetryBudget(
       settings.retry,
-      () => Math.max(MIN_FLEET_SIZE, this.#roster.peakInstanceCount),
+      () =>
+        this.#roster.isSizeKnown
+          ? Math.max(MIN_FLEET_SIZE, this.#roster.peakInstanceCount)
+          : undefined,
       settings,
     );
     const retries = new RetryBooker(this.#retryBudget, logger);
