Keep the losses that a convicted prompt part explains

Cause: a part kept its 32 newest losses. A deadly part that caused more no longer explained the first ones, which then counted against the parts that had waited on the same engines. Ruled out: the change that asks for losses at separate moments. It lets more crashes happen before a verdict, which made the overflow visible. Change: 128 losses are kept, about three of each engine of the largest site.

--- a/packages/coordination/src/__tests__/part_quarantine.test.ts
+++ b/packages/coordination/src/__tests__/part_quarantine.test.ts
@@ -166,6 +166,17 @@
   assert.is(statusOf(quarantine, "innocent"), "clear");
 });
 
+test("an innocent part is not convicted once its losses are old ones of a deadly part", () => {
+  const { clocks, quarantine } = create();
+  for (let loss = 0; loss < 100; loss += 1) {
+    const parts = loss < 3 ? ["deadly", "innocent"] : ["deadly"];
+    quarantine.recordLoss(parts, `e${loss}`);
+    clocks.advance(300);
+  }
+  assert.is(statusOf(quarantine, "deadly"), "quarantined");
+  assert.is(statusOf(quarantine, "innocent"), "clear");
+});
+
 test("a part seen to live needs more losses than one that never lived", () => {
   const { clocks, quarantine } = create();
   quarantine.recordLived(["first"]);
--- a/packages/coordination/src/part_record.ts
+++ b/packages/coordination/src/part_record.ts
@@ -4,8 +4,11 @@
 import { PART_EVIDENCE_LIMITS } from "./part_evidence_limits.js";
 import type { PartSuspicion } from "./part_suspicion.js";
 
-/** Losses kept of a part; the oldest are dropped first. */
-const MAX_LOSSES = 32;
+/**
+ * Losses kept of a part; the oldest are dropped first. A convicted part no
+ * longer explains those that were dropped, which then count against others.
+ */
+const MAX_LOSSES = 128;
 /** Engines that fail within this time may have failed for one cause. */
 const LOSS_SPACING_MS = 250;
 /**
