Run no request whose connection ends with the response before it

What callers would see: of two requests that a caller sends on one connection without waiting, the second runs and its answer is thrown away, if the response to the first ends the connection. A stopping instance ends each connection with its next response, and so does a runner's answer without a length at any time. No user reported it, and no caller is known to send so; it was found by a check of the ways on which a stopping instance can lose what it has passed on.

Cause: Node.js hands over every request that it has parsed, also those behind another, and drops their responses with the socket once a response that says 'connection: close' is sent. Nothing asked for the order.

Ruled out: the exit itself.

Change: the requests of a connection take turns. One is served once the responses before it have been sent, and not at all if its connection has ended by then. While another request has arrived behind it, a response of a stopping instance keeps the connection, so that the one behind is answered too.

--- a/packages/gateway/src/server/caller_server.ts
+++ b/packages/gateway/src/server/caller_server.ts
@@ -9,7 +9,7 @@
 import type { PartQuarantine, Quarantine } from "@jujubeladder/coordination";
 import type { Logger } from "@jujubeladder/logger";
 import type { Metrics } from "@jujubeladder/metrics";
-import { monotonicMs } from "@jujubeladder/utils";
+import { ConnectionTurns, monotonicMs } from "@jujubeladder/utils";
 import { toRefusalStatus } from "../decisions/to_refusal_status.js";
 import type { CallerRequest } from "../model/caller_request.js";
 import type { GatewayCodec } from "../model/gateway_codec.js";
@@ -70,6 +70,7 @@
   readonly #server: Server;
   readonly #active = new Set<ActiveRequest>();
   readonly #connections = new WeakMap<Socket, CallerConnection>();
+  readonly #turns = new ConnectionTurns();
   #bufferedBytes = 0;
   #lastRequestAtMs = 0;
 
@@ -148,8 +149,11 @@
     const { metrics } = this.#dependencies;
     const response = new HttpCallerResponse(
       serverResponse,
-      () => this.#dependencies.exitAtMs() !== undefined,
+      () =>
+        this.#dependencies.exitAtMs() !== undefined &&
+        this.#turns.isLatest(serverResponse),
     );
+    const turn = this.#turns.take(serverResponse, response.closed);
     const active: ActiveRequest = { receivedAtMs, response };
     this.#active.add(active);
     const connection = this.#connections.get(incoming.socket);
@@ -171,6 +175,7 @@
       }
       bufferedBytes = read.body.length;
       this.#bufferedBytes += bufferedBytes;
+      if (!(await turn)) return;
       await this.#serve(incoming, { active, body: read.body });
     } finally {
       this.#bufferedBytes -= bufferedBytes;
--- a/packages/gateway/src/server/http_caller_response.ts
+++ b/packages/gateway/src/server/http_caller_response.ts
@@ -11,7 +11,7 @@
   readonly closed: Promise<void>;
   #endsWithConnection = false;
 
-  /** While `isClosing` returns true, responses ask to close the connection. */
+  /** If `isClosing` returns true, the response asks to close the connection. */
   constructor(response: ServerResponse, isClosing: () => boolean) {
     this.#response = response;
     this.#isClosing = isClosing;
--- a/packages/utils/src/mod.ts
+++ b/packages/utils/src/mod.ts
@@ -1,8 +1,9 @@
-/** Byte budgets, clocks, deadlines, backoff, sealing and hashing. */
+/** Byte budgets, clocks, deadlines, backoff, turns, sealing and hashing. */
 export { ByteBudget } from "./byte_budget.js";
 export type { ClockReading } from "./clock_reading.js";
 export { computeBackoffMs } from "./compute_backoff_ms.js";
 export { computeFingerprint } from "./compute_fingerprint.js";
+export { ConnectionTurns } from "./connection_turns.js";
 export { createId } from "./create_id.js";
 export { Deadline } from "./deadline.js";
 export { describeError } from "./describe_error.js";
