Book the budget of a resumption as soon as its run has been copied

Cause: a run asked for budget when it was to stop, up to 1.6 s after the notice, and once. Retries sent meanwhile took it, and budget that came free later was not asked for. Change: budget is booked when the first copy is there, held until the run resumes or ends, and asked for again every 50 ms until the run has ended. The log names the first refusal of a run only. Ruled out: resumptions beyond the instance's share, which no longer bounds the sum ('the instances together stay within the fleet's limit').

--- a/packages/gateway/src/__tests__/run_migration.test.ts
+++ b/packages/gateway/src/__tests__/run_migration.test.ts
@@ -4,6 +4,7 @@
 import { monotonicMs, settleWithin, sleep } from "@jujubeladder/utils";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
+import { FleetRetryBudget } from "../decisions/fleet_retry_budget.js";
 import type { CopyOutcome } from "../model/copy_outcome.js";
 import { RunMigration } from "../relay/run_migration.js";
 import { createRunner } from "./create_runner.js";
@@ -70,6 +71,59 @@
   assert.ok(resumed.length > 10, `${resumed.length} resumed`);
 });
 
+test("retries during a notice do not take the budget that a run needs to resume", async () => {
+  const limits = { ratio: 0, fleetSlack: 1, windowMs: 10_000 };
+  const budget = new FleetRetryBudget(limits, () => 1, { isFirstStart: true });
+  const { migration, orders } = createMigration(budget);
+  migration.start(monotonicMs() + 600);
+  await sleep(50);
+  assert.equal(orders, ["copy"]);
+  assert.not(budget.book("s", "retry"));
+  await sleep(300);
+  assert.equal(orders, ["copy", "stop"]);
+  migration.finish();
+  assert.ok(budget.book("s", "retry"), "the run has ended");
+});
+
+test("a run whose budget comes free before its runner exits still moves", async () => {
+  const limits = { ratio: 0, fleetSlack: 1, windowMs: 10_000 };
+  const budget = new FleetRetryBudget(limits, () => 1, { isFirstStart: true });
+  const waiting = budget.book("s", "retry");
+  const { migration, orders } = createMigration(budget);
+  migration.start(monotonicMs() + 400);
+  await sleep(100);
+  assert.equal(orders, ["copy"]);
+  waiting?.release();
+  await sleep(150);
+  assert.equal(orders, ["copy", "stop"]);
+  migration.finish();
+});
+
+/** A run whose engines copy at once, with the orders that they got. */
+function createMigration(budget: FleetRetryBudget) {
+  const orders: string[] = [];
+  const migration = new RunMigration({
+    source: createRunner("source"),
+    requestId: "request",
+    control: {
+      copyRun: (_source, { isFinal }) => {
+        orders.push(isFinal ? "stop" : "copy");
+        return Promise.resolve({ type: "copied", handle: "h", eventCount: 1 });
+      },
+      onNotice: () => undefined,
+      readReport: () => Promise.resolve({ isLeaving: true }),
+      dropCopy: () => Promise.resolve(),
+    },
+    targets: {
+      choose: () => createRunner("target"),
+      reserve: () => () => undefined,
+    },
+    bookResumption: () => budget.book("s", "resumption"),
+    logger: new Logger({}),
+  });
+  return { migration, orders };
+}
+
 async function play(scenario: Scenario) {
   const { endsAtMs, end } = scenario;
   const held = new Set<string>();
--- a/packages/gateway/src/relay/retry_booker.ts
+++ b/packages/gateway/src/relay/retry_booker.ts
@@ -19,12 +19,38 @@
   }
 
   /** Returns undefined if the budget does not allow the attempt. */
-  book(
-    { request, service: { serviceId } }: RequestContext,
+  book(context: RequestContext, kind: RetryKind): RetryBooking | undefined {
+    const booking = this.#tryBook(context, kind);
+    if (!booking) this.#logRefusal(context, kind);
+    return booking;
+  }
+
+  /** Returns a function that may be called again; logs its first refusal. */
+  createBooker(
+    context: RequestContext,
+    kind: RetryKind,
+  ): () => RetryBooking | undefined {
+    let isLogged = false;
+    return () => {
+      const booking = this.#tryBook(context, kind);
+      if (booking || isLogged) return booking;
+      isLogged = true;
+      this.#logRefusal(context, kind);
+      return undefined;
+    };
+  }
+
+  #tryBook(
+    { service }: RequestContext,
     kind: RetryKind,
   ): RetryBooking | undefined {
-    const booking = this.#budget.book(serviceId, kind);
-    if (booking) return booking;
+    return this.#budget.book(service.serviceId, kind);
+  }
+
+  #logRefusal(
+    { request, service: { serviceId } }: RequestContext,
+    kind: RetryKind,
+  ): void {
     const { spent, allowed } = this.#budget.getUse(serviceId);
     this.#logger.info("retry_refused", {
       request: request.requestId,
@@ -33,6 +59,5 @@
       spent,
       allowed,
     });
-    return undefined;
   }
 }
--- a/packages/gateway/src/relay/run_migration.ts
+++ b/packages/gateway/src/relay/run_migration.ts
@@ -191,9 +191,6 @@
         case "wait_to_stop":
           await this.#waitForStopTime();
           if (this.#ended.hasEnded) return;
-          // A run that could not resume is better off until its source exits.
-          this.#booking = this.#bookResumption();
-          if (!this.#booking) return;
           action = this.#advance({ type: "time_to_stop" });
           break;
         case "copy_later":
@@ -223,13 +220,17 @@
     }
   }
 
+  // Books as early as can be, so that retries during the notice leave the budget.
+  // Without it the run is better off where it is, until its source exits.
   async #waitForStopTime(): Promise<void> {
-    for (;;) {
+    while (!this.#ended.hasEnded) {
+      this.#booking ??= this.#bookResumption();
       const leftMs = this.#sourceExitAtMs - STOP_MARGIN_MS - monotonicMs();
-      if (leftMs <= 0 || this.#ended.hasEnded) return;
-      // Sleeps in short steps because `setSourceExitAt` may change the time.
-      const stepMs = Math.min(leftMs, STOP_POLL_INTERVAL_MS);
-      await sleep(stepMs, this.#ended.signal);
+      if (leftMs <= 0 && this.#booking) return;
+      // Sleeps in short steps because `setSourceExitAt` may change the time, and
+      // budget may come free.
+      const stepMs = leftMs > 0 ? leftMs : STOP_POLL_INTERVAL_MS;
+      await sleep(Math.min(stepMs, STOP_POLL_INTERVAL_MS), this.#ended.signal);
     }
   }
 
--- a/packages/gateway/src/relay/run_migrator.ts
+++ b/packages/gateway/src/relay/run_migrator.ts
@@ -59,7 +59,7 @@
       requestId: request.requestId,
       control,
       logger,
-      bookResumption: () => retries.book(context, "resumption"),
+      bookResumption: retries.createBooker(context, "resumption"),
       targets: {
         choose: (refusedRunnerIds) =>
           chooseMigrationTarget(
