Return the retry budget of a stream whose caller leaves while it moves

Callers saw: nothing yet; each such caller took one retry of an instance's share for good, so that the share shrank until a restart. Cause: the booking of a run that has stopped and is to resume was released by the attempt that resumes it only, and there is none if the caller leaves or the time runs out while the stop is confirmed. The copy stayed on its target for the same reason. Change: a resumption that does not come about returns its budget and its copy. Ruled out: a time limit on bookings, which would let a slow resumption arrive beside the next window's share.

--- a/packages/gateway/src/relay/request_relay.ts
+++ b/packages/gateway/src/relay/request_relay.ts
@@ -128,6 +128,7 @@
       continueAt: undefined,
     };
     const outcome = await this.#runAttempts(context, session, progress);
+    this.#abandonResumption(progress);
     const hasSucceeded =
       outcome.type === "delivered" && outcome.statusCode < 500;
     for (const runnerId of progress.failures.listBlamed(hasSucceeded))
@@ -174,6 +175,13 @@
     }
   }
 
+  // The caller may leave, or time may run out, before a stopped run resumes.
+  #abandonResumption({ continueAt }: RelayProgress): void {
+    if (!continueAt) return;
+    continueAt.booking?.release();
+    void this.#dependencies.migrator.dropCopy(continueAt.cacheRef);
+  }
+
   // Returns why no attempt may start now. A stream that its caller is receiving
   // goes on for as long as a stopping instance can.
   #findObstacle(context: RequestContext): Refusal | undefined {
@@ -189,13 +197,12 @@
     progress: RelayProgress,
   ): Promise<GatewayRunner | undefined> {
     const { continueAt } = progress;
-    const { scheduler, migrator, retries } = this.#dependencies;
+    const { scheduler, retries } = this.#dependencies;
     if (continueAt) {
       progress.booking =
         continueAt.booking ?? retries.book(context, "resumption");
       if (progress.booking) return continueAt.runner;
       progress.lastReason += NO_RETRIES;
-      void migrator.dropCopy(continueAt.cacheRef);
       return undefined;
     }
     if (this.#findObstacle(context)) return undefined;
