--- a/packages/gateway/src/decisions/fleet_retry_budget.ts
+++ b/packages/gateway/src/decisions/fleet_retry_budget.ts
@@ -40,6 +40,7 @@
 export class FleetRetryBudget {
   readonly #limits: RetryLimits;
   readonly #countInstances: () => number | undefined;
+  readonly #readClockMs: () => number;
   readonly #slackFromMs: number;
   readonly #byService = new Map<string, Attempts>();
 
@@ -51,15 +52,22 @@
   constructor(
     limits: RetryLimits,
     countInstances: () => number | undefined,
-    { isFirstStart }: { readonly isFirstStart: boolean },
+    {
+      isFirstStart,
+      readClockMs = monotonicMs,
+    }: {
+      readonly isFirstStart: boolean;
+      readonly readClockMs?: () => number;
+    },
   ) {
     this.#limits = limits;
     this.#countInstances = countInstances;
-    this.#slackFromMs = monotonicMs() + (isFirstStart ? 0 : limits.windowMs);
+    this.#readClockMs = readClockMs;
+    this.#slackFromMs = readClockMs() + (isFirstStart ? 0 : limits.windowMs);
   }
 
   recordRequest(serviceId: string): void {
-    this.#attemptsOf(serviceId).requestsAtMs.push(monotonicMs());
+    this.#attemptsOf(serviceId).requestsAtMs.push(this.#readClockMs());
   }
 
   /**
@@ -68,8 +76,8 @@
    */
   book(serviceId: string, kind: RetryKind): RetryBooking | undefined {
     const { spent, allowed } = this.getUse(serviceId);
-    if (spent + 1 > allowed) return undefined;
     const repeats = this.#attemptsOf(serviceId).byKind[kind];
+    if (spent + 1 > allowed) return undefined;
     const limit = kind === "retry" ? limitRetries(allowed) : allowed;
     if (countSpent(repeats) + 1 > limit) return undefined;
     repeats.bookedCount += 1;
@@ -80,7 +88,7 @@
     };
     return {
       recordSent: () => {
-        if (isOpen) repeats.sentAtMs.push(monotonicMs());
+        if (isOpen) repeats.sentAtMs.push(this.#readClockMs());
         close();
       },
       release: close,
@@ -103,7 +111,7 @@
 
   get #slackShare(): number {
     const instanceCount = this.#countInstances();
-    if (instanceCount === undefined || monotonicMs() < this.#slackFromMs)
+    if (instanceCount === undefined || this.#readClockMs() < this.#slackFromMs)
       return 0;
     return this.#limits.fleetSlack / Math.max(1, instanceCount);
   }
@@ -118,7 +126,7 @@
     };
     this.#byService.set(serviceId, attempts);
     const { requestsAtMs, byKind } = attempts;
-    const sinceMs = monotonicMs() - this.#limits.windowMs;
+    const sinceMs = this.#readClockMs() - this.#limits.windowMs;
     dropBefore(requestsAtMs, sinceMs);
     dropBefore(byKind.retry.sentAtMs, sinceMs);
     dropBefore(byKind.resumption.sentAtMs, sinceMs);
--- a/packages/standins/src/mod.ts
+++ b/packages/standins/src/mod.ts
@@ -10,6 +10,7 @@
 export { EngineOrders } from "./engine_orders.js";
 export { EngineServer } from "./engine_server.js";
 export type { EngineStep } from "./engine_step.js";
+export { findClosestWindow } from "./find_closest_window.js";
 export { floodBytes } from "./flood_bytes.js";
 export { Generation } from "./generation.js";
 export type { GenerationTruth } from "./generation_truth.js";
