Carry positions instead of revisions through reads of the store

Callers see nothing: every position is in era 0 and only revisions are compared, as before. Prepares for eras, which let a store that comes back from a copy give out its revisions again.

Change: `asOf` is a `StorePosition` in the store client, the views and the reads through peers; a reader is asked for the whole list by no position instead of 0. Tests state positions for numbers and check the same.

--- a/packages/gateway/src/__tests__/fuzz_peers.test.ts
+++ b/packages/gateway/src/__tests__/fuzz_peers.test.ts
@@ -58,7 +58,7 @@
       const [encoded] = encodeRunnerEntries({
         type: "changes",
         changes,
-        asOf: 1,
+        asOf: { era: 0, revision: 1 },
         ageMs: 0,
       });
       const bytes = toBinary(
--- a/packages/gateway/src/__tests__/odd_peers.test.ts
+++ b/packages/gateway/src/__tests__/odd_peers.test.ts
@@ -59,7 +59,10 @@
     async () => Promise.resolve(create(ViewStateSchema, view)),
     (key) => refused.push(key),
   );
-  const result = await reader.watchRunners({ asOf: 1, waitMs: 10 });
+  const result = await reader.watchRunners({
+    asOf: { era: 0, revision: 1 },
+    waitMs: 10,
+  });
   peers.close();
   server.close();
   return { result, refused };
--- a/packages/gateway/src/__tests__/store_readers.test.ts
+++ b/packages/gateway/src/__tests__/store_readers.test.ts
@@ -52,9 +52,15 @@
 
 test("a stall of this process does not pass for a reader's silence", async () => {
   const { reader, close } = await startReader((waitMs) => waitMs);
-  const first = await reader.watchRunners({ asOf: 1, waitMs: 10 });
+  const first = await reader.watchRunners({
+    asOf: { era: 0, revision: 1 },
+    waitMs: 10,
+  });
   assert.ok(first.ok);
-  const result = reader.watchRunners({ asOf: 1, waitMs: 100 });
+  const result = reader.watchRunners({
+    asOf: { era: 0, revision: 1 },
+    waitMs: 100,
+  });
   await sleep(50);
   stallProcess(600);
   assert.ok((await result).ok);
@@ -64,7 +70,10 @@
 test("a silent reader fails 0.3 s after the requested wait", async () => {
   const { reader, close } = await startReader(() => 2_000);
   const startedAtMs = performance.now();
-  const result = await reader.watchRunners({ asOf: 1, waitMs: 100 });
+  const result = await reader.watchRunners({
+    asOf: { era: 0, revision: 1 },
+    waitMs: 100,
+  });
   const elapsedMs = performance.now() - startedAtMs;
   assert.not(result.ok);
   assert.ok(elapsedMs >= 390 && elapsedMs < 600, `after ${elapsedMs} ms`);
--- a/packages/gateway/src/__tests__/sync_loops.test.ts
+++ b/packages/gateway/src/__tests__/sync_loops.test.ts
@@ -46,7 +46,10 @@
     calls += 1;
     await Promise.resolve();
     return source === "codec"
-      ? ({ ok: true, value: { text: "odd", asOf: 1 } } as const)
+      ? ({
+          ok: true,
+          value: { text: "odd", asOf: { era: 0, revision: 1 } },
+        } as const)
       : fail();
   };
   const reader: StoreReader = {
--- a/packages/gateway/src/__tests__/sync_runners.test.ts
+++ b/packages/gateway/src/__tests__/sync_runners.test.ts
@@ -28,7 +28,12 @@
     watchRunners: async () =>
       Promise.resolve({
         ok: true,
-        value: { type: "list", asOf: 7, ageMs: 1_700, runners: [] },
+        value: {
+          type: "list",
+          asOf: { era: 0, revision: 7 },
+          ageMs: 1_700,
+          runners: [],
+        },
       }),
   };
   let calls = 0;
@@ -48,10 +53,13 @@
     signal: abort.signal,
   });
   for (let n = 0; n < 3; n += 1) {
-    const update = await watchCache.readSince(7, {
-      waitMs: 400,
-      shouldWait: () => true,
-    });
+    const update = await watchCache.readSince(
+      { era: 0, revision: 7 },
+      {
+        waitMs: 400,
+        shouldWait: () => true,
+      },
+    );
     assert.ok(
       update && update.ageMs < MAX_VIEW_AGE_MS,
       `${update?.ageMs} ms old`,
--- a/packages/gateway/src/__tests__/view_poller.test.ts
+++ b/packages/gateway/src/__tests__/view_poller.test.ts
@@ -112,19 +112,27 @@
   const { reader, calls } = createReader(VIEW);
   const config = await reader.watchConfig({ version: 7, waitMs: 10 });
   assert.equal(config, { ok: true, value: { version: 7, ageMs: 20 } });
-  const runners = await reader.watchRunners({ asOf: 85, waitMs: 10 });
+  const runners = await reader.watchRunners({
+    asOf: { era: 0, revision: 85 },
+    waitMs: 10,
+  });
   assert.equal(runners, {
     ok: true,
-    value: { type: "changes", changes: [], asOf: 90, ageMs: 30 },
+    value: {
+      type: "changes",
+      changes: [],
+      asOf: { era: 0, revision: 90 },
+      ageMs: 30,
+    },
   });
   assert.equal(calls, []);
 });
 
 for (const [what, view, asOf] of [
-  ["the list has changed", VIEW, 79],
-  ["the list is not known yet", VIEW, 0],
-  ["the peer is behind", VIEW, 91],
-  ["the peer does not answer", undefined, 85],
+  ["the list has changed", VIEW, { era: 0, revision: 79 }],
+  ["the list is not known yet", VIEW, undefined],
+  ["the peer is behind", VIEW, { era: 0, revision: 91 }],
+  ["the peer does not answer", undefined, { era: 0, revision: 85 }],
 ] as const) {
   test(`the list is read by a call: ${what}`, async () => {
     const { reader, calls } = createReader(view);
@@ -143,7 +151,7 @@
 test("a call after an unanswered query does not wait for a change", async () => {
   const { reader, waitsMs } = createReader(undefined);
   await reader.watchConfig({ version: 7, waitMs: 700 });
-  await reader.watchRunners({ asOf: 85, waitMs: 700 });
+  await reader.watchRunners({ asOf: { era: 0, revision: 85 }, waitMs: 700 });
   assert.equal(waitsMs, [1, 1]);
 });
 
@@ -160,7 +168,14 @@
     });
     const { reader, calls } = createReader(stale);
     assert.not((await reader.watchConfig({ version: 7, waitMs: 10 })).ok);
-    assert.not((await reader.watchRunners({ asOf: 85, waitMs: 10 })).ok);
+    assert.not(
+      (
+        await reader.watchRunners({
+          asOf: { era: 0, revision: 85 },
+          waitMs: 10,
+        })
+      ).ok,
+    );
     assert.equal(calls, []);
   });
 }
@@ -177,7 +192,7 @@
     return readViewState({ ...dependencies, runnersHealth });
   };
   assert.is(read(20).runnersAgeMs, undefined, "nothing has been read yet");
-  watchCache.replaceList([], { asOf: 90, readAt });
+  watchCache.replaceList([], { asOf: { era: 0, revision: 90 }, readAt });
   assert.is(read(20).configAgeMs, 20);
   assert.type(read(20).runnersAgeMs, "number");
   assert.is(read(2 ** 40).configAgeMs, undefined, "beyond the wire's range");
--- a/packages/gateway/src/mesh/create_view_handlers.ts
+++ b/packages/gateway/src/mesh/create_view_handlers.ts
@@ -35,13 +35,15 @@
       };
     },
     watchRunners: async ({ asOf, waitMs }) => {
-      const update = await watchCache.readSince(Number(asOf), {
+      const revision = Number(asOf);
+      const since = revision === 0 ? undefined : { era: 0, revision };
+      const update = await watchCache.readSince(since, {
         waitMs: Math.min(waitMs, MAX_WAIT_MS),
         shouldWait: () => runnersHealth.isHealthy,
       });
       if (!update || !runnersHealth.isHealthy) return { asOf };
       return {
-        asOf: BigInt(update.asOf),
+        asOf: BigInt(update.asOf.revision),
         ageMs: Math.ceil(Math.max(0, update.ageMs)),
         isList: update.type === "list",
         entries: encodeRunnerEntries(update),
--- a/packages/gateway/src/mesh/peer_store_reader.ts
+++ b/packages/gateway/src/mesh/peer_store_reader.ts
@@ -8,6 +8,7 @@
 import { describeError, setPatientTimeout } from "@jujubeladder/utils";
 import type { RunnerChange } from "../model/runner_change.js";
 import type { RunnerListUpdate } from "../model/runner_list_update.js";
+import type { StorePosition } from "../model/store_position.js";
 import type { StoreReader } from "../model/store_reader.js";
 import { decodeRunnerEntry } from "./decode_runner_entry.js";
 
@@ -83,34 +84,36 @@
   }
 
   async watchRunners(options: {
-    readonly asOf: number;
+    readonly asOf: StorePosition | undefined;
     readonly waitMs: number;
   }): Promise<Result<RunnerListUpdate, string>> {
     const { asOf } = options;
-    const view = asOf > 0 ? await this.#pollView() : undefined;
+    const since = asOf?.revision ?? 0;
+    const view = asOf ? await this.#pollView() : undefined;
     const waitMs = view ? options.waitMs : UNANSWERED_WAIT_MS;
     const isUnchanged =
       view &&
-      Number(view.runnersAsOf) >= asOf &&
-      Number(view.runnersChangedAsOf) <= asOf;
+      Number(view.runnersAsOf) >= since &&
+      Number(view.runnersChangedAsOf) <= since;
     if (isUnchanged) {
       const { runnersAgeMs: ageMs } = view;
       if (ageMs === undefined || ageMs > MAX_VIEW_AGE_MS)
         return staleView(ageMs);
-      const asOfView = Number(view.runnersAsOf);
-      if (!Number.isSafeInteger(asOfView)) return ODD_REVISION;
-      const known = { asOf: asOfView, ageMs };
+      const revision = Number(view.runnersAsOf);
+      if (!Number.isSafeInteger(revision)) return ODD_REVISION;
+      const known = { asOf: { era: 0, revision }, ageMs };
       return { ok: true, value: { ...known, type: "changes", changes: [] } };
     }
     try {
       const response = await callWithin(waitMs, async (signal) =>
-        this.#client.watchRunners({ asOf: BigInt(asOf), waitMs }, { signal }),
+        this.#client.watchRunners({ asOf: BigInt(since), waitMs }, { signal }),
       );
       const { ageMs } = response;
       if (ageMs === undefined || ageMs > MAX_VIEW_AGE_MS)
         return staleView(ageMs);
-      const known = { asOf: Number(response.asOf), ageMs };
-      if (!Number.isSafeInteger(known.asOf)) return ODD_REVISION;
+      const revision = Number(response.asOf);
+      if (!Number.isSafeInteger(revision)) return ODD_REVISION;
+      const known = { asOf: { era: 0, revision }, ageMs };
       const changes = response.entries.map((entry) => this.#decode(entry));
       if (!response.isList) {
         return { ok: true, value: { ...known, type: "changes", changes } };
--- a/packages/gateway/src/mesh/read_view_state.ts
+++ b/packages/gateway/src/mesh/read_view_state.ts
@@ -21,8 +21,8 @@
   return create(ViewStateSchema, {
     configVersion: BigInt(activeConfig.version),
     ...(configAgeMs === undefined ? {} : { configAgeMs }),
-    runnersAsOf: BigInt(watchCache.asOf),
-    runnersChangedAsOf: BigInt(watchCache.changedAsOf),
+    runnersAsOf: BigInt(watchCache.asOf.revision),
+    runnersChangedAsOf: BigInt(watchCache.changedAsOf.revision),
     ...(runnersAgeMs === undefined ? {} : { runnersAgeMs }),
   });
 }
--- a/packages/gateway/src/model/metadata_store.ts
+++ b/packages/gateway/src/model/metadata_store.ts
@@ -1,11 +1,12 @@
 import type { Result } from "@jujubeladder/types";
 import type { GatewayRunner } from "./gateway_runner.js";
 import type { RunnerChange } from "./runner_change.js";
+import type { StorePosition } from "./store_position.js";
 import type { WatchOutcome } from "./watch_outcome.js";
 
 /**
  * Read-only client of the store that operators and runners write to. `asOf` is
- * a revision of the store; errors describe why a call failed.
+ * a position in the store's history; errors describe why a call failed.
  */
 export interface MetadataStore {
   /** Reads the configuration; `text` is absent if there is none yet. */
@@ -13,13 +14,13 @@
     readonly timeoutMs: number;
   }): Promise<
     Result<
-      { readonly text?: string | undefined; readonly asOf: number },
+      { readonly text?: string | undefined; readonly asOf: StorePosition },
       string
     >
   >;
   /** Long poll for a configuration newer than `asOf`. */
   watchConfig(options: {
-    readonly asOf: number;
+    readonly asOf: StorePosition;
     readonly waitMs: number;
     readonly timeoutMs: number;
   }): Promise<Result<WatchOutcome<string>, string>>;
@@ -27,13 +28,16 @@
     readonly timeoutMs: number;
   }): Promise<
     Result<
-      { readonly runners: readonly GatewayRunner[]; readonly asOf: number },
+      {
+        readonly runners: readonly GatewayRunner[];
+        readonly asOf: StorePosition;
+      },
       string
     >
   >;
   /** Long poll for changes to the list of runners since `asOf`. */
   watchRunners(options: {
-    readonly asOf: number;
+    readonly asOf: StorePosition;
     readonly waitMs: number;
     readonly timeoutMs: number;
   }): Promise<Result<WatchOutcome<readonly RunnerChange[]>, string>>;
--- a/packages/gateway/src/model/store_reader.ts
+++ b/packages/gateway/src/model/store_reader.ts
@@ -1,5 +1,6 @@
 import type { Result } from "@jujubeladder/types";
 import type { RunnerListUpdate } from "./runner_list_update.js";
+import type { StorePosition } from "./store_position.js";
 
 /**
  * A peer that reads the store for others; errors describe why it can't be used.
@@ -20,9 +21,9 @@
       string
     >
   >;
-  /** Long poll for changes since revision `asOf`; 0 requests the full list. */
+  /** Long poll for changes since `asOf`; without one the full list is returned. */
   watchRunners(options: {
-    readonly asOf: number;
+    readonly asOf: StorePosition | undefined;
     readonly waitMs: number;
   }): Promise<Result<RunnerListUpdate, string>>;
 }
--- a/packages/gateway/src/views/runner_watch_cache.ts
+++ b/packages/gateway/src/views/runner_watch_cache.ts
@@ -2,13 +2,16 @@
 import type { GatewayRunner } from "../model/gateway_runner.js";
 import type { RunnerListUpdate } from "../model/runner_list_update.js";
 import type { RunnerChange } from "../model/runner_change.js";
+import type { StorePosition } from "../model/store_position.js";
 import { ChangeSignal } from "./change_signal.js";
 
+const INITIAL_POSITION: StorePosition = { era: 0, revision: 0 };
+
 /** Peers that are behind the oldest entry get the whole list. */
 const MAX_LOG_ENTRIES = 500;
 
 interface LogEntry {
-  readonly asOf: number;
+  readonly asOf: StorePosition;
   readonly changes: readonly RunnerChange[];
 }
 
@@ -21,22 +24,22 @@
   readonly #log: LogEntry[] = [];
   readonly #changed = new ChangeSignal();
   readonly #onChanged: () => void;
-  #logStart = 0;
-  #asOf = 0;
-  #changedAsOf = 0;
+  #logStart = INITIAL_POSITION;
+  #asOf = INITIAL_POSITION;
+  #changedAsOf = INITIAL_POSITION;
   #readAt: ClockReading | undefined;
 
   constructor(options: { readonly onChanged?: () => void } = {}) {
     this.#onChanged = options.onChanged ?? (() => undefined);
   }
 
-  /** The store's revision of the list; 0 before the first read. */
-  get asOf(): number {
+  /** The store's position of the list; at revision 0 before the first read. */
+  get asOf(): StorePosition {
     return this.#asOf;
   }
 
-  /** The revision up to which the list has changed. */
-  get changedAsOf(): number {
+  /** The position up to which the list has changed. */
+  get changedAsOf(): StorePosition {
     return this.#changedAsOf;
   }
 
@@ -48,7 +51,7 @@
   /** Replaces the list; `readAt` must be no later than the read's sending. */
   replaceList(
     runners: readonly GatewayRunner[],
-    read: { readonly asOf: number; readonly readAt: ClockReading },
+    read: { readonly asOf: StorePosition; readonly readAt: ClockReading },
   ): void {
     this.#runners.clear();
     for (const runner of runners) this.#runners.set(runner.runnerId, runner);
@@ -61,7 +64,7 @@
   /** Applies the changes since the last read, of which there may be none. */
   applyChanges(
     changes: readonly RunnerChange[],
-    read: { readonly asOf: number; readonly readAt: ClockReading },
+    read: { readonly asOf: StorePosition; readonly readAt: ClockReading },
   ): void {
     for (const change of changes) {
       if (change.type === "put") {
@@ -78,23 +81,24 @@
   }
 
   /**
-   * Returns the changes after a revision, or the whole list. Waits for a change
+   * Returns the changes after a position, or the whole list. Waits for a change
    * while `shouldWait` holds; undefined if this instance is behind `asOf` or
    * has read nothing yet.
    */
   async readSince(
-    asOf: number,
+    asOf: StorePosition | undefined,
     options: { readonly waitMs: number; readonly shouldWait: () => boolean },
   ): Promise<RunnerListUpdate | undefined> {
-    const isDone = () => this.#asOf > asOf || !options.shouldWait();
+    const since = asOf?.revision ?? 0;
+    const isDone = () => this.#asOf.revision > since || !options.shouldWait();
     await this.#changed.waitUntil(isDone, options.waitMs);
-    if (!this.#readAt || this.#asOf < asOf) return undefined;
+    if (!this.#readAt || this.#asOf.revision < since) return undefined;
     const known = { asOf: this.#asOf, ageMs: maxElapsedMs(this.#readAt) };
-    if (asOf === 0 || asOf < this.#logStart) {
+    if (!asOf || since < this.#logStart.revision) {
       return { ...known, type: "list", runners: [...this.#runners.values()] };
     }
     const changes = this.#log
-      .filter((entry) => entry.asOf > asOf)
+      .filter((entry) => entry.asOf.revision > since)
       .flatMap((entry) => entry.changes);
     return { ...known, type: "changes", changes };
   }
@@ -106,10 +110,10 @@
   }
 
   #recordRead(read: {
-    readonly asOf: number;
+    readonly asOf: StorePosition;
     readonly readAt: ClockReading;
   }): void {
-    this.#asOf = Math.max(this.#asOf, read.asOf);
+    if (read.asOf.revision > this.#asOf.revision) this.#asOf = read.asOf;
     this.#readAt = read.readAt;
   }
 }
--- a/packages/gateway/src/views/sync_config.ts
+++ b/packages/gateway/src/views/sync_config.ts
@@ -1,5 +1,6 @@
 import { readClocks, sleep } from "@jujubeladder/utils";
 import type { MetadataStore } from "../model/metadata_store.js";
+import type { StorePosition } from "../model/store_position.js";
 import type { StoreReader } from "../model/store_reader.js";
 import { computeStoreBackoffMs } from "./compute_store_backoff_ms.js";
 import { recoverFromException } from "./recover_from_exception.js";
@@ -27,7 +28,7 @@
 
 /** Position in the watch of the store. */
 interface WatchPosition {
-  readonly asOf: number | undefined;
+  readonly asOf: StorePosition | undefined;
   /** False while the store's newest configuration is an invalid one. */
   readonly isNewest: boolean;
 }
@@ -121,7 +122,7 @@
   return { asOf: value.asOf, isNewest };
 }
 
-async function readNext(store: MetadataStore, asOf: number | undefined) {
+async function readNext(store: MetadataStore, asOf: StorePosition | undefined) {
   if (asOf !== undefined) {
     const timeoutMs = WATCH_WAIT_MS + CALL_TIMEOUT_MS;
     return await store.watchConfig({ asOf, waitMs: WATCH_WAIT_MS, timeoutMs });
--- a/packages/gateway/src/views/sync_runners.ts
+++ b/packages/gateway/src/views/sync_runners.ts
@@ -1,6 +1,7 @@
 import { readClocks, sleep, type ClockReading } from "@jujubeladder/utils";
 import type { MetadataStore } from "../model/metadata_store.js";
 import type { RunnerChange } from "../model/runner_change.js";
+import type { StorePosition } from "../model/store_position.js";
 import type { StoreReader } from "../model/store_reader.js";
 import { computeStoreBackoffMs } from "./compute_store_backoff_ms.js";
 import { recoverFromException } from "./recover_from_exception.js";
@@ -38,7 +39,7 @@
   dependencies: RunnerSyncDependencies,
 ): Promise<void> {
   const { readerProvider, signal } = dependencies;
-  let asOf: number | undefined;
+  let asOf: StorePosition | undefined;
   let wasReader = false;
   while (!signal.aborted) {
     const reader = readerProvider.find();
@@ -55,18 +56,15 @@
   }
 }
 
-// Each step returns the store's revision that the directory reflects, or
+// Each step returns the store's position that the directory reflects, or
 // undefined if the list must be read again.
 async function syncFromReader(
   { readerProvider, health, directory, watchCache }: RunnerSyncDependencies,
   reader: StoreReader,
-  asOf: number | undefined,
-): Promise<number | undefined> {
+  asOf: StorePosition | undefined,
+): Promise<StorePosition | undefined> {
   const sentAt = readClocks();
-  const result = await reader.watchRunners({
-    asOf: asOf ?? 0,
-    waitMs: WATCH_WAIT_MS,
-  });
+  const result = await reader.watchRunners({ asOf, waitMs: WATCH_WAIT_MS });
   if (!result.ok) {
     readerProvider.recordFailure(reader, result.error);
     return asOf;
@@ -86,9 +84,9 @@
 
 async function syncFromStore(
   dependencies: RunnerSyncDependencies,
-  asOf: number | undefined,
+  asOf: StorePosition | undefined,
   waitMs: number,
-): Promise<number | undefined> {
+): Promise<StorePosition | undefined> {
   return asOf === undefined
     ? await readList(dependencies)
     : await watchList(dependencies, { asOf, waitMs });
@@ -101,7 +99,7 @@
   directory,
   watchCache,
   signal,
-}: RunnerSyncDependencies): Promise<number | undefined> {
+}: RunnerSyncDependencies): Promise<StorePosition | undefined> {
   const readAt = readClocks();
   health.recordCall(0);
   const list = await store.listRunners({ timeoutMs: CALL_TIMEOUT_MS });
@@ -131,10 +129,10 @@
     asOf,
     waitMs,
   }: {
-    readonly asOf: number;
+    readonly asOf: StorePosition;
     readonly waitMs: number;
   },
-): Promise<number | undefined> {
+): Promise<StorePosition | undefined> {
   const readAt = readClocks();
   health.recordCall(waitMs);
   const result = await store.watchRunners({
