Order the cache of runners by era before revision

Callers would see requests placed on runners that have gone, and none on new ones: after the store has come back from a copy, followers of a reader heard of no change until its revisions had passed those of before, and their views counted as fresh.

Cause: RunnerWatchCache kept the greatest revision it had seen and filtered its log by revision alone. A follower at 100 got no changes from a reader whose list had been read at 60 and changed at 62.

Ruled out: clearing the cache at a restore, after which followers would find no view and turn to the store.

Change: the cache's position moves on to a list of another era whatever its revision; a follower of an earlier era gets the whole list, and one of a later era is told that this instance is behind.

--- a/packages/gateway/src/views/runner_watch_cache.ts
+++ b/packages/gateway/src/views/runner_watch_cache.ts
@@ -1,4 +1,5 @@
 import { maxElapsedMs, type ClockReading } from "@jujubeladder/utils";
+import { compareStorePositions } from "../model/compare_store_positions.js";
 import type { GatewayRunner } from "../model/gateway_runner.js";
 import type { RunnerListUpdate } from "../model/runner_list_update.js";
 import type { RunnerChange } from "../model/runner_change.js";
@@ -89,16 +90,18 @@
     asOf: StorePosition | undefined,
     options: { readonly waitMs: number; readonly shouldWait: () => boolean },
   ): Promise<RunnerListUpdate | undefined> {
-    const since = asOf?.revision ?? 0;
-    const isDone = () => this.#asOf.revision > since || !options.shouldWait();
+    const since = asOf ?? INITIAL_POSITION;
+    const isDone = () =>
+      compareStorePositions(this.#asOf, since) > 0 || !options.shouldWait();
     await this.#changed.waitUntil(isDone, options.waitMs);
-    if (!this.#readAt || this.#asOf.revision < since) return undefined;
+    const isBehind = compareStorePositions(this.#asOf, since) < 0;
+    if (!this.#readAt || isBehind) return undefined;
     const known = { asOf: this.#asOf, ageMs: maxElapsedMs(this.#readAt) };
-    if (!asOf || since < this.#logStart.revision) {
+    if (!asOf || compareStorePositions(asOf, this.#logStart) < 0) {
       return { ...known, type: "list", runners: [...this.#runners.values()] };
     }
     const changes = this.#log
-      .filter((entry) => entry.asOf.revision > since)
+      .filter((entry) => compareStorePositions(entry.asOf, asOf) > 0)
       .flatMap((entry) => entry.changes);
     return { ...known, type: "changes", changes };
   }
@@ -113,7 +116,11 @@
     readonly asOf: StorePosition;
     readonly readAt: ClockReading;
   }): void {
-    if (read.asOf.revision > this.#asOf.revision) this.#asOf = read.asOf;
+    // Within an era, a list of a peer may be older than what was told of here.
+    const isOtherEra = read.asOf.era !== this.#asOf.era;
+    if (isOtherEra || compareStorePositions(read.asOf, this.#asOf) > 0) {
+      this.#asOf = read.asOf;
+    }
     this.#readAt = read.readAt;
   }
 }
