Tell peers the store's era with its revisions

Cause: views, requests and responses between instances carried revisions alone. A reader whose list was restored passed for behind or, once its revision had been passed again, for unchanged.

Ruled out: taking an absent era for 0. Beside a store in era 1, a new instance would find every old reader behind and read the store itself, and old followers would get the whole list at each change.

Change: new optional fields runners_era and as_of_era. An absent one counts as of the other instance's era. Changes of another era than the request's and eras beyond the safe range fail the read, as odd revisions do.

--- a/packages/gateway/src/mesh/create_view_handlers.ts
+++ b/packages/gateway/src/mesh/create_view_handlers.ts
@@ -4,6 +4,7 @@
 import type { RunnerWatchCache } from "../views/runner_watch_cache.js";
 import type { StoreReadHealth } from "../views/store_read_health.js";
 import { encodeRunnerEntries } from "./encode_runner_entries.js";
+import { toStorePosition } from "./to_store_position.js";
 
 /** Limit on the wait that a peer may request. */
 const MAX_WAIT_MS = 5_000;
@@ -34,16 +35,21 @@
         ...(isConfirmed ? { ageMs: Math.ceil(Math.max(0, ageMs)) } : {}),
       };
     },
-    watchRunners: async ({ asOf, waitMs }) => {
-      const revision = Number(asOf);
-      const since = revision === 0 ? undefined : { era: 0, revision };
-      const update = await watchCache.readSince(since, {
-        waitMs: Math.min(waitMs, MAX_WAIT_MS),
-        shouldWait: () => runnersHealth.isHealthy,
-      });
+    watchRunners: async ({ asOf, asOfEra: era, waitMs }) => {
+      const { asOf: known } = watchCache;
+      const since = toStorePosition({ era, revision: asOf }, known.era);
+      if (!since) return { asOf };
+      const update = await watchCache.readSince(
+        asOf === 0n ? undefined : since,
+        {
+          waitMs: Math.min(waitMs, MAX_WAIT_MS),
+          shouldWait: () => runnersHealth.isHealthy,
+        },
+      );
       if (!update || !runnersHealth.isHealthy) return { asOf };
       return {
         asOf: BigInt(update.asOf.revision),
+        asOfEra: BigInt(update.asOf.era),
         ageMs: Math.ceil(Math.max(0, update.ageMs)),
         isList: update.type === "list",
         entries: encodeRunnerEntries(update),
--- a/packages/gateway/src/mesh/peer_store_reader.ts
+++ b/packages/gateway/src/mesh/peer_store_reader.ts
@@ -11,6 +11,7 @@
 import type { StorePosition } from "../model/store_position.js";
 import type { StoreReader } from "../model/store_reader.js";
 import { decodeRunnerEntry } from "./decode_runner_entry.js";
+import { toStorePosition } from "./to_store_position.js";
 
 /** Time for a response to arrive after the requested wait has ended. */
 const RESPONSE_MARGIN_MS = 300;
@@ -19,10 +20,14 @@
 /** Older views are rejected, as a leaving runner gives only 2 s of notice. */
 const MAX_VIEW_AGE_MS = 1_800;
 
-/** The store has no changes after such a revision, so that none would be seen. */
-const ODD_REVISION = {
+/** The store has no changes after such a position, so that none would be seen. */
+const ODD_POSITION = {
   ok: false,
-  error: "the peer's revision is out of range",
+  error: "the peer's position is out of range",
+} as const;
+const OTHER_ERA = {
+  ok: false,
+  error: "the peer's changes are of another era",
 } as const;
 
 /** Watches the configuration and the runners through a peer. */
@@ -88,34 +93,50 @@
     readonly waitMs: number;
   }): Promise<Result<RunnerListUpdate, string>> {
     const { asOf } = options;
-    const since = asOf?.revision ?? 0;
     const view = asOf ? await this.#pollView() : undefined;
     const waitMs = view ? options.waitMs : UNANSWERED_WAIT_MS;
-    const isUnchanged =
-      view &&
-      Number(view.runnersAsOf) >= since &&
-      Number(view.runnersChangedAsOf) <= since;
-    if (isUnchanged) {
-      const { runnersAgeMs: ageMs } = view;
-      if (ageMs === undefined || ageMs > MAX_VIEW_AGE_MS)
-        return staleView(ageMs);
-      const revision = Number(view.runnersAsOf);
-      if (!Number.isSafeInteger(revision)) return ODD_REVISION;
-      const known = { asOf: { era: 0, revision }, ageMs };
-      return { ok: true, value: { ...known, type: "changes", changes: [] } };
+    if (view && asOf) {
+      const { runnersEra: era, runnersAsOf, runnersChangedAsOf } = view;
+      const read = toStorePosition({ era, revision: runnersAsOf }, asOf.era);
+      if (!read) return ODD_POSITION;
+      const isUnchanged =
+        read.era === asOf.era &&
+        read.revision >= asOf.revision &&
+        Number(runnersChangedAsOf) <= asOf.revision;
+      if (isUnchanged) {
+        const { runnersAgeMs: ageMs } = view;
+        if (ageMs === undefined || ageMs > MAX_VIEW_AGE_MS)
+          return staleView(ageMs);
+        const value = {
+          type: "changes",
+          changes: [],
+          asOf: read,
+          ageMs,
+        } as const;
+        return { ok: true, value };
+      }
     }
     try {
+      const request = {
+        asOf: BigInt(asOf?.revision ?? 0),
+        ...(asOf ? { asOfEra: BigInt(asOf.era) } : {}),
+        waitMs,
+      };
       const response = await callWithin(waitMs, async (signal) =>
-        this.#client.watchRunners({ asOf: BigInt(since), waitMs }, { signal }),
+        this.#client.watchRunners(request, { signal }),
       );
-      const { ageMs } = response;
+      const { ageMs, asOfEra: era } = response;
       if (ageMs === undefined || ageMs > MAX_VIEW_AGE_MS)
         return staleView(ageMs);
-      const revision = Number(response.asOf);
-      if (!Number.isSafeInteger(revision)) return ODD_REVISION;
-      const known = { asOf: { era: 0, revision }, ageMs };
+      const read = toStorePosition(
+        { era, revision: response.asOf },
+        asOf?.era ?? 0,
+      );
+      if (!read) return ODD_POSITION;
+      const known = { asOf: read, ageMs };
       const changes = response.entries.map((entry) => this.#decode(entry));
       if (!response.isList) {
+        if (asOf && read.era !== asOf.era) return OTHER_ERA;
         return { ok: true, value: { ...known, type: "changes", changes } };
       }
       const runners = changes.flatMap((change) =>
--- a/packages/gateway/src/mesh/read_view_state.ts
+++ b/packages/gateway/src/mesh/read_view_state.ts
@@ -22,6 +22,7 @@
     configVersion: BigInt(activeConfig.version),
     ...(configAgeMs === undefined ? {} : { configAgeMs }),
     runnersAsOf: BigInt(watchCache.asOf.revision),
+    runnersEra: BigInt(watchCache.asOf.era),
     runnersChangedAsOf: BigInt(watchCache.changedAsOf.revision),
     ...(runnersAgeMs === undefined ? {} : { runnersAgeMs }),
   });
