--- a/packages/gateway/src/views/refused_entry_log.ts
+++ b/packages/gateway/src/views/refused_entry_log.ts
@@ -6,7 +6,8 @@
 const MAX_LINES = 20;
 const MAX_KEY_LENGTH = 200;
 
-type RefusalEvent = "runner_entry_refused" | "peer_refused";
+type RefusalEvent =
+  "runner_entry_refused" | "peer_refused" | "store_era_refused";
 
 /**
  * Logs entries that others wrote and that are left out: a line for each key and
