Read again after a peer has told of a restore of the store

Callers would see an old list or configuration for up to a watch's wait longer than the fleet knows of the restore.

Cause: an instance learnt the store's era from its own reads only.

Ruled out: taking a peer's era for the store's own. An absurd one would make all answers of the store pass for late, or make the instance read again for ever.

Change: digests carry the era that the store itself has told the sender, and a reader's position tells its era. A greater one than the known voids earlier positions; answers of the store are never judged by it. The first read that is sent afterwards settles it: if it is of the older era, the claim is dropped and claims are ignored until the store tells another era.

--- a/packages/coordination/src/gossip_extension.ts
+++ b/packages/coordination/src/gossip_extension.ts
@@ -11,6 +11,7 @@
   describe(): {
     readonly confirmedAgeMs?: number;
     readonly knownInstances: number;
+    readonly storeEra?: bigint;
     readonly members: MessageInitShape<typeof MemberSchema>[];
     readonly runnerShares: MessageInitShape<typeof RunnerShareSchema>[];
   };
--- a/packages/gateway/src/__tests__/odd_digests.test.ts
+++ b/packages/gateway/src/__tests__/odd_digests.test.ts
@@ -64,6 +64,7 @@
     peers,
     peerDatagrams,
     loadTracker,
+    store: { era: 0, recordPeerEra: () => undefined },
     quarantine: new Quarantine(2),
     logger: LOGGER,
   });
--- a/packages/gateway/src/__tests__/sync_runners.test.ts
+++ b/packages/gateway/src/__tests__/sync_runners.test.ts
@@ -17,6 +17,7 @@
   const abort = new AbortController();
   const watchCache = new RunnerWatchCache();
   const store: Partial<MetadataStore> = {
+    recordPeerEra: () => undefined,
     watchRunners: async ({ asOf, waitMs }) => {
       await sleep(waitMs);
       return { ok: true, value: { type: "unchanged", asOf } };
@@ -69,4 +70,40 @@
   await syncing;
 });
 
+test("an era that a reader tells is recorded", async () => {
+  const abort = new AbortController();
+  const claims: unknown[] = [];
+  const store: Partial<MetadataStore> = {
+    recordPeerEra: (era, peerId) => {
+      claims.push([era, peerId]);
+      abort.abort();
+    },
+  };
+  const asOf = { era: 2, revision: 60 };
+  const reader: StoreReader = {
+    instanceId: "reader",
+    watchConfig: async () => Promise.reject(new Error("not called")),
+    watchRunners: async () => {
+      await sleep(1);
+      return { ok: true, value: { type: "list", asOf, ageMs: 0, runners: [] } };
+    },
+  };
+  setTimeout(() => {
+    abort.abort();
+  }, 100);
+  await syncRunners({
+    store: store as MetadataStore,
+    directory: new RunnerDirectory(LOGGER),
+    watchCache: new RunnerWatchCache(),
+    readerProvider: {
+      find: () => reader,
+      recordOwnFailure: () => undefined,
+      recordFailure: () => undefined,
+    },
+    health: new StoreReadHealth("runners", { logger: LOGGER }),
+    signal: abort.signal,
+  });
+  assert.equal(claims, [[2, "reader"]]);
+});
+
 test.run();
--- a/packages/gateway/src/mesh/create_gossip_extension.ts
+++ b/packages/gateway/src/mesh/create_gossip_extension.ts
@@ -1,6 +1,7 @@
 import type { GossipExtension } from "@jujubeladder/coordination";
 import type { Logger } from "@jujubeladder/logger";
 import type { LoadTracker } from "../decisions/load_tracker.js";
+import type { MetadataStore } from "../model/metadata_store.js";
 import type { ActiveConfig } from "../views/active_config.js";
 import type { RunnerDirectory } from "../views/runner_directory.js";
 import { RefusedEntryLog } from "../views/refused_entry_log.js";
@@ -22,9 +23,10 @@
   readonly loadTracker: LoadTracker;
   readonly activeConfig: ActiveConfig;
   readonly directory: RunnerDirectory;
+  readonly store: Pick<MetadataStore, "era" | "recordPeerEra">;
   readonly logger: Logger;
 }): GossipExtension {
-  const { roster, loadTracker, activeConfig, directory } = dependencies;
+  const { roster, loadTracker, activeConfig, directory, store } = dependencies;
   const refusedPeers = new RefusedEntryLog(dependencies.logger, "peer_refused");
   const record = (peer: Parameters<PeerRoster["record"]>[0]): boolean => {
     const isPeer = roster.record(peer);
@@ -38,6 +40,7 @@
         ...(ageMs < MAX_CONFIRMATION_AGE_MS
           ? { confirmedAgeMs: Math.ceil(ageMs) }
           : {}),
+        storeEra: BigInt(store.era),
         knownInstances: roster.peakInstanceCount,
         members: roster
           .sampleRecent()
@@ -58,6 +61,9 @@
       if (!sender) return;
       const address = sender.instanceId;
       if (!record({ address, region, availabilityZone, ageMs: 0 })) return;
+      if (digest.storeEra !== undefined) {
+        store.recordPeerEra(Number(digest.storeEra), address);
+      }
       roster.recordKnownInstances(digest.knownInstances);
       for (const peer of digest.members) {
         record({ ...peer, ageMs: peer.heardAgeMs });
--- a/packages/gateway/src/mesh/create_membership.ts
+++ b/packages/gateway/src/mesh/create_membership.ts
@@ -12,6 +12,7 @@
 import { createId } from "@jujubeladder/utils";
 import type { LoadTracker } from "../decisions/load_tracker.js";
 import { SMALL_FLEET_MAX_INSTANCES } from "../decisions/small_fleet_max_instances.js";
+import type { MetadataStore } from "../model/metadata_store.js";
 import { toIncarnationId } from "../model/to_incarnation_id.js";
 import type { ActiveConfig } from "../views/active_config.js";
 import type { RunnerDirectory } from "../views/runner_directory.js";
@@ -41,6 +42,7 @@
   readonly peers: PeerDirectory;
   readonly peerDatagrams: PeerDatagrams;
   readonly loadTracker: LoadTracker;
+  readonly store: Pick<MetadataStore, "era" | "recordPeerEra">;
   readonly quarantine: Quarantine;
   readonly partEvidence?: PartEvidence;
   readonly logger: Logger;
--- a/packages/gateway/src/model/metadata_store.ts
+++ b/packages/gateway/src/model/metadata_store.ts
@@ -9,6 +9,13 @@
  * a position in the store's history; errors describe why a call failed.
  */
 export interface MetadataStore {
+  /** The latest era that the store itself has told; 0 before. */
+  readonly era: number;
+  /**
+   * Records an era that a peer tells. A greater one voids the positions of
+   * earlier eras, until a read that is sent afterwards shows otherwise.
+   */
+  recordPeerEra(era: number, peerId: string): void;
   /** Reads the configuration; `text` is absent if there is none yet. */
   readConfig(options: {
     readonly timeoutMs: number;
@@ -24,9 +31,7 @@
     readonly waitMs: number;
     readonly timeoutMs: number;
   }): Promise<Result<WatchOutcome<string>, string>>;
-  listRunners(options: {
-    readonly timeoutMs: number;
-  }): Promise<
+  listRunners(options: { readonly timeoutMs: number }): Promise<
     Result<
       {
         readonly runners: readonly GatewayRunner[];
--- a/packages/gateway/src/server/gateway_instance.ts
+++ b/packages/gateway/src/server/gateway_instance.ts
@@ -140,6 +140,7 @@
       peers: this.#peers,
       peerDatagrams: this.#peerDatagrams,
       loadTracker,
+      store: this.#store,
       quarantine,
       partEvidence: partQuarantine,
       logger,
--- a/packages/gateway/src/views/store_era_tracker.ts
+++ b/packages/gateway/src/views/store_era_tracker.ts
@@ -7,11 +7,18 @@
  */
 const MAX_LATENESS_MS = 3_000;
 
-/** Keeps the store's era, which rises by each restore of the store. */
+/**
+ * Keeps the store's era, which rises by each restore of the store. A peer may
+ * hear of a restore first; what it claims counts until a read that was sent
+ * after hearing of it shows the store's era.
+ */
 export class StoreEraTracker {
   readonly #logger: Pick<Logger, "info" | "warn">;
   #told: number | undefined;
   #toldAtMs = 0;
+  #claimed: number | undefined;
+  /** No more claims count then until the store tells another era. */
+  #isClaimRefuted = false;
 
   constructor(logger: Pick<Logger, "info" | "warn">) {
     this.#logger = logger;
@@ -22,6 +29,31 @@
     return this.#told ?? 0;
   }
 
+  /** The greater era that a peer claims, if there is one. */
+  get claimed(): number | undefined {
+    return this.#claimed;
+  }
+
+  /** Positions of earlier eras than this are void. */
+  get current(): number {
+    return this.#claimed ?? this.told;
+  }
+
+  /** Records an era that a peer tells. */
+  recordClaim(era: number, peerId: string): void {
+    // Without an answer of the store there is no position to void.
+    if (this.#told === undefined || this.#isClaimRefuted) return;
+    if (!Number.isSafeInteger(era) || era <= this.current) return;
+    if (this.#claimed === undefined) {
+      this.#logger.info("store_era_claimed", {
+        peer: peerId,
+        era: this.#told,
+        claimed_era: era,
+      });
+    }
+    this.#claimed = era;
+  }
+
   /**
    * Records the era that an answer of the store tells, if it does. An earlier
    * one than the known is that of an answer from before a restore.
@@ -39,8 +71,25 @@
     }
     this.#told = era;
     this.#toldAtMs = nowMs;
+    if (era === known) return;
+    this.#isClaimRefuted = false;
+    if (this.#claimed !== undefined && this.#claimed <= era) {
+      this.#claimed = undefined;
+    }
     if (known !== undefined && era > known) {
       this.#logger.info("store_restored", { old_era: known, new_era: era });
     }
   }
+
+  /** Takes back a claim that was known when an answered read was sent. */
+  settleClaim(claimed: number | undefined): void {
+    if (claimed === undefined || claimed <= this.told) return;
+    if (this.#claimed === undefined) return;
+    this.#logger.warn("store_era_claim_refuted", {
+      era: this.told,
+      claimed_era: this.#claimed,
+    });
+    this.#claimed = undefined;
+    this.#isClaimRefuted = true;
+  }
 }
--- a/packages/gateway/src/views/sync_runners.ts
+++ b/packages/gateway/src/views/sync_runners.ts
@@ -59,7 +59,13 @@
 // Each step returns the store's position that the directory reflects, or
 // undefined if the list must be read again.
 async function syncFromReader(
-  { readerProvider, health, directory, watchCache }: RunnerSyncDependencies,
+  {
+    store,
+    readerProvider,
+    health,
+    directory,
+    watchCache,
+  }: RunnerSyncDependencies,
   reader: StoreReader,
   asOf: StorePosition | undefined,
 ): Promise<StorePosition | undefined> {
@@ -71,6 +77,7 @@
   }
   health.recordSuccess();
   const { value } = result;
+  store.recordPeerEra(value.asOf.era, reader.instanceId);
   const read = { asOf: value.asOf, readAt: subtractAge(sentAt, value.ageMs) };
   if (value.type === "list") {
     directory.replaceAll(value.runners);
