Test a failed watch that finds a restored store

Callers would see what an old list leads to: after one failed watch the next is sent with the same position, and its 200 in a greater era would be taken for the changes since.

--- a/packages/gateway/src/__tests__/sync_runners.test.ts
+++ b/packages/gateway/src/__tests__/sync_runners.test.ts
@@ -8,6 +8,7 @@
 import { RunnerWatchCache } from "../views/runner_watch_cache.js";
 import { StoreReadHealth } from "../views/store_read_health.js";
 import { syncRunners } from "../views/sync_runners.js";
+import { createRunner } from "./create_runner.js";
 
 const LOGGER = new Logger({});
 /** Peers reject a view that is older than 1.8 s. */
@@ -70,6 +71,50 @@
   await syncing;
 });
 
+test("the list is read again if a watch that had failed finds a restored store", async () => {
+  const abort = new AbortController();
+  const directory = new RunnerDirectory(LOGGER);
+  const watchCache = new RunnerWatchCache();
+  const calls: string[] = [];
+  const old = createRunner("old");
+  const restored = createRunner("restored");
+  const lists = [
+    { runners: [old], asOf: { era: 1, revision: 100 } },
+    { runners: [old, restored], asOf: { era: 2, revision: 60 } },
+  ];
+  const store: Partial<MetadataStore> = {
+    listRunners: async () => {
+      calls.push("list");
+      const value = lists.shift();
+      if (!value) throw new Error("the list is read once an era");
+      return Promise.resolve({ ok: true, value });
+    },
+    watchRunners: async ({ asOf }) => {
+      calls.push(`watch ${asOf.era}`);
+      await sleep(1);
+      if (calls.length === 2) return { ok: false, error: "reset" };
+      if (asOf.era === 1) return { ok: true, value: { type: "history_lost" } };
+      abort.abort();
+      return { ok: true, value: { type: "unchanged", asOf } };
+    },
+  };
+  await syncRunners({
+    store: store as MetadataStore,
+    directory,
+    watchCache,
+    readerProvider: {
+      find: () => undefined,
+      recordOwnFailure: () => undefined,
+      recordFailure: () => undefined,
+    },
+    health: new StoreReadHealth("runners", { logger: LOGGER }),
+    signal: abort.signal,
+  });
+  assert.equal(calls, ["list", "watch 1", "watch 1", "list", "watch 2"]);
+  assert.ok(directory.find("restored"));
+  assert.equal(watchCache.asOf, { era: 2, revision: 60 });
+});
+
 test("an era that a reader tells is recorded", async () => {
   const abort = new AbortController();
   const claims: unknown[] = [];
