Show the store's era in the metrics

On-call would see on which instances a restore of the store has not arrived: the gauge store_era is the latest era that the store itself has told.

--- a/packages/gateway/src/server/gateway_instance.ts
+++ b/packages/gateway/src/server/gateway_instance.ts
@@ -384,6 +384,7 @@
       `jujubeladder_config_version ${this.#activeConfig.version}`,
       `jujubeladder_config_age_ms ${this.#activeConfig.confirmedAgeMs}`,
       `jujubeladder_runners ${this.#directory.size}`,
+      `jujubeladder_store_era ${this.#store.era}`,
       `jujubeladder_log_lines_dropped_total ${this.#droppedLogLines()}`,
     ];
     return `${this.#metrics.toPrometheusText()}${gauges.join("\n")}\n`;
