--- a/packages/gateway/src/server/gateway_instance.ts
+++ b/packages/gateway/src/server/gateway_instance.ts
@@ -143,6 +143,7 @@
       peers: this.#peers,
       peerDatagrams: this.#peerDatagrams,
       loadTracker,
+      store: this.#store,
       quarantine,
       partEvidence: partQuarantine,
       logger,
@@ -394,6 +395,7 @@
       `jujubeladder_config_version ${this.#activeConfig.version}`,
       `jujubeladder_config_age_ms ${this.#activeConfig.confirmedAgeMs}`,
       `jujubeladder_runners ${this.#directory.size}`,
+      `jujubeladder_store_era ${this.#store.era}`,
       `jujubeladder_log_lines_dropped_total ${this.#droppedLogLines()}`,
       ...formatRetryBudget(this.#retryBudget),
     ];
