Withdraw a runner's absence from the store once it registers again

Callers would see fewer runners, and refusals where a service has few: a runner that registered within the span that a restored store lost is missing from the next list, counted as leaving for good, and got nothing after it had registered again under the same start.

Cause: an absence from the store's list was kept as the same mark as a runner's own statement, and nothing takes a mark back.

Ruled out: the runner's `sequence` as the proof. Whatever raises it and reaches the directory is a change event, which is a proof by itself; in a list of a later era it may date from the copy. Ignoring a list that looks short: DRAIN binds from the removal on, also of a runner that never reports that it is draining.

Change: `LeavingEvidence` tells statements, which are final, from absences, which hold the store's position. A later list of the same era withdraws an absence, and so does a change event of the same or a later era. A list of a later era does not, as the copy may be older than the removal, and neither does a staler reader. New line `runner_returned` and counter `runners_returned`; a runner that started anew under its id leaves by `replaced` instead of `removed`.

--- a/packages/gateway/src/__tests__/crash_detector.test.ts
+++ b/packages/gateway/src/__tests__/crash_detector.test.ts
@@ -42,7 +42,7 @@
   });
   for (let n = 0; n < QUARANTINE_THRESHOLD; n += 1) {
     const runner = createRunner(`runner-${n}`);
-    directory.put(runner);
+    directory.put(runner, { era: 0, revision: n });
     detector.checkForCrash(runner, {
       requestId: `request-${n}`,
       fingerprint: "request",
--- a/packages/gateway/src/__tests__/placement_caches.test.ts
+++ b/packages/gateway/src/__tests__/placement_caches.test.ts
@@ -101,13 +101,22 @@
     state: fc.constantFrom("live" as const, "leaving" as const),
   })
   .map(({ runnerId, ...changes }) => createRunner(runnerId, changes));
+const asOf = fc.record({
+  era: fc.nat({ max: 2 }),
+  revision: fc.nat({ max: 20 }),
+});
 const changes = fc.oneof(
-  fc.record({ type: fc.constant("put" as const), runner: runners }),
+  fc.record({ type: fc.constant("put" as const), runner: runners, asOf }),
   fc.record({ type: fc.constant("mark" as const), runner: runners }),
-  fc.record({ type: fc.constant("remove" as const), runnerId: runnerIds }),
+  fc.record({
+    type: fc.constant("remove" as const),
+    runnerId: runnerIds,
+    asOf,
+  }),
   fc.record({
     type: fc.constant("replace" as const),
     runners: fc.array(runners, { maxLength: 4 }),
+    asOf,
   }),
   fc.record({ type: fc.constant("grace" as const) }),
   fc.record({
@@ -121,16 +130,16 @@
 function apply(directory: RunnerDirectory, change: Change): void {
   switch (change.type) {
     case "put":
-      directory.put(change.runner);
+      directory.put(change.runner, change.asOf);
       return;
     case "mark":
       directory.markLeaving(toIncarnationId(change.runner), "peer");
       return;
     case "remove":
-      directory.remove(change.runnerId);
+      directory.remove(change.runnerId, change.asOf);
       return;
     case "replace":
-      directory.replaceAll(change.runners);
+      directory.replaceAll(change.runners, change.asOf);
       return;
     case "grace":
       directory.startReregistrationGrace();
--- a/packages/gateway/src/__tests__/views.test.ts
+++ b/packages/gateway/src/__tests__/views.test.ts
@@ -6,6 +6,7 @@
 import { LoadTracker } from "../decisions/load_tracker.js";
 import { OutlierScores } from "../decisions/outlier_scores.js";
 import { Placement } from "../decisions/placement.js";
+import type { StorePosition } from "../model/store_position.js";
 import { toIncarnationId } from "../model/to_incarnation_id.js";
 import { PeerRoster } from "../mesh/peer_roster.js";
 import { RunnerDirectory } from "../views/runner_directory.js";
@@ -19,6 +20,10 @@
   Math.random = random;
 });
 
+function at(revision: number): StorePosition {
+  return { era: 0, revision };
+}
+
 function listIds(directory: RunnerDirectory): readonly string[] {
   return directory.listUsable("writer").map(({ runnerId }) => runnerId);
 }
@@ -26,13 +31,13 @@
 test("a leaving runner is not used again until it has restarted", () => {
   const directory = new RunnerDirectory(LOGGER);
   const first = createRunner("a");
-  directory.put(first);
+  directory.put(first, at(1));
   directory.markLeaving(toIncarnationId(first), "peer");
-  directory.put(first);
+  directory.put(first, at(2));
   assert.equal(listIds(directory), []);
-  directory.put(createRunner("a", { startedAtMs: 2 }));
+  directory.put(createRunner("a", { startedAtMs: 2 }), at(3));
   assert.equal(listIds(directory), ["a"]);
-  directory.put(createRunner("a", { startedAtMs: 1, state: "leaving" }));
+  directory.put(createRunner("a", { startedAtMs: 1, state: "leaving" }), at(4));
   assert.equal(
     listIds(directory),
     ["a"],
@@ -44,12 +49,12 @@
   const { now } = performance;
   try {
     const directory = new RunnerDirectory(LOGGER);
-    directory.put(createRunner("a"));
-    directory.put(createRunner("b"));
+    directory.put(createRunner("a"), at(5));
+    directory.put(createRunner("b"), at(6));
     directory.markLeaving(toIncarnationId(createRunner("a")), "answer");
     performance.now = () => now.call(performance) + 61_000;
     directory.markLeaving("another@1", "peer");
-    directory.put(createRunner("a"));
+    directory.put(createRunner("a"), at(7));
     assert.equal(listIds(directory), ["b"]);
   } finally {
     performance.now = now;
@@ -58,20 +63,20 @@
 
 test("entries that expired during a store outage are retained for 2 s", async () => {
   const directory = new RunnerDirectory(LOGGER);
-  directory.put(createRunner("a"));
-  directory.put(createRunner("b"));
+  directory.put(createRunner("a"), at(8));
+  directory.put(createRunner("b"), at(9));
   directory.startReregistrationGrace();
-  directory.replaceAll([]);
+  directory.replaceAll([], at(10));
   assert.equal(listIds(directory), ["a", "b"]);
-  directory.put(createRunner("b"));
+  directory.put(createRunner("b"), at(11));
   await sleep(2_050);
   assert.equal(listIds(directory), ["b"]);
 });
 
 test("a removed runner is dropped at once if there was no outage", () => {
   const directory = new RunnerDirectory(LOGGER);
-  directory.put(createRunner("a"));
-  directory.remove("a");
+  directory.put(createRunner("a"), at(12));
+  directory.remove("a", at(13));
   assert.equal(listIds(directory), []);
   assert.ok(directory.isLeaving("a"));
 });
--- a/packages/gateway/src/relay/runner_notices.ts
+++ b/packages/gateway/src/relay/runner_notices.ts
@@ -34,6 +34,9 @@
       metrics.count("runners_leaving");
       pool.closeIdleOf(runner.runnerId);
     });
+    directory.events.on("returned", () => {
+      metrics.count("runners_returned");
+    });
   }
 
   /** Heeds a notice of the incarnation that the request was sent to. */
--- a/packages/gateway/src/views/runner_directory.ts
+++ b/packages/gateway/src/views/runner_directory.ts
@@ -1,39 +1,49 @@
 import Emittery from "emittery";
 import type { Logger } from "@jujubeladder/logger";
 import { monotonicMs } from "@jujubeladder/utils";
+import { compareStorePositions } from "../model/compare_store_positions.js";
 import type { GatewayRunner } from "../model/gateway_runner.js";
+import type { LeavingEvidence } from "../model/leaving_evidence.js";
+import type { LeavingSource } from "../model/leaving_source.js";
+import type { RunnerSighting } from "../model/runner_sighting.js";
+import type { StorePosition } from "../model/store_position.js";
 import { toIncarnationId } from "../model/to_incarnation_id.js";
+import { LeavingMarks } from "./leaving_marks.js";
 
 /**
  * After an outage, the store guarantees that live runners register again
  * within this time.
  */
 const REREGISTRATION_GRACE_MS = 2_000;
-/** Minimum time for which a runner stays marked as leaving. */
-const LEAVING_RETENTION_MS = 60_000;
 
-/** How it became known that a runner is leaving. */
-type LeavingCause =
-  "listed" | "removed" | "answer" | "refusal" | "order" | "report" | "peer";
+/** A removal that is put off, as the runner may register again. */
+interface PendingRemoval {
+  readonly dueAtMs: number;
+  readonly asOf: StorePosition;
+}
 
 /**
  * The known runners, and which of them are leaving. Once an incarnation of a
- * runner (one start of its process) is marked as leaving, whichever source
- * reported it, no update reverts that. The mark is retained for as long as the
- * incarnation is listed, and at least for `LEAVING_RETENTION_MS`.
+ * runner (one start of its process) is stated to be leaving, by whichever
+ * source, no update reverts that. An absence from the store's list makes it
+ * unusable just as fast, until the store shows that it has registered since.
  */
 export class RunnerDirectory {
   readonly events = new Emittery<{
+    /** A runner is not usable any more. */
     leaving: GatewayRunner;
+    /** An absence was withdrawn, so that the runner is usable again. */
+    returned: GatewayRunner;
     changed: undefined;
   }>();
   readonly #logger: Logger;
   readonly #runners = new Map<string, GatewayRunner>();
-  readonly #leavingSinceMs = new Map<string, number>();
-  readonly #removalDueAtMs = new Map<string, number>();
+  readonly #marks = new LeavingMarks();
+  readonly #pendingRemovals = new Map<string, PendingRemoval>();
   /** The runners of each service that may receive requests, once listed. */
   readonly #usable = new Map<string, readonly GatewayRunner[]>();
   #graceEndsAtMs = 0;
+  #era: number | undefined;
 
   constructor(logger: Logger) {
     this.#logger = logger;
@@ -50,7 +60,7 @@
   /** True for a runner that is leaving or is not known. */
   isLeaving(runnerId: string): boolean {
     const runner = this.#runners.get(runnerId);
-    return !runner || this.#leavingSinceMs.has(toIncarnationId(runner));
+    return !runner || this.#marks.has(toIncarnationId(runner));
   }
 
   /** Lists the runners of a service that may receive requests. */
@@ -67,26 +77,13 @@
     return usable;
   }
 
-  /** Adds or updates a runner; entries of older incarnations are ignored. */
-  put(runner: GatewayRunner): void {
-    const known = this.#runners.get(runner.runnerId);
-    // An update on an earlier incarnation may arrive late.
-    if (known && known.startedAtMs > runner.startedAtMs) return;
-    const isNew = known?.startedAtMs !== runner.startedAtMs;
-    if (known && isNew) this.markLeaving(toIncarnationId(known), "removed");
-    this.#removalDueAtMs.delete(runner.runnerId);
-    this.#runners.set(runner.runnerId, runner);
-    this.#usable.clear();
-    if (runner.state === "leaving")
-      this.markLeaving(toIncarnationId(runner), "listed");
-    if (!isNew) return;
-    this.#logger.info("runner_listed", {
-      runner: runner.runnerId,
-      service: runner.serviceId,
-      zone: runner.availabilityZone,
-      state: runner.state,
-    });
-    void this.events.emit("changed");
+  /**
+   * Adds or updates a runner by a change of the store, whose revision is at
+   * most `asOf`; entries of older incarnations are ignored.
+   */
+  put(runner: GatewayRunner, asOf: StorePosition): void {
+    this.#recordEra(asOf);
+    this.#add(runner, { type: "change", asOf });
   }
 
   /**
@@ -94,54 +91,33 @@
    * store its registration may merely have expired, so that it is kept for a
    * grace period in which it can register again.
    */
-  remove(runnerId: string): void {
-    const runner = this.#runners.get(runnerId);
-    if (!runner) return;
-    const nowMs = monotonicMs();
-    if (nowMs < this.#graceEndsAtMs && !this.isLeaving(runnerId)) {
-      if (!this.#removalDueAtMs.has(runnerId)) {
-        this.#removalDueAtMs.set(runnerId, this.#graceEndsAtMs);
-      }
-      return;
-    }
-    this.markLeaving(toIncarnationId(runner), "removed");
-    this.#runners.delete(runnerId);
-    this.#usable.clear();
+  remove(runnerId: string, asOf: StorePosition): void {
+    this.#recordEra(asOf);
+    this.#removeAbsent(runnerId, asOf);
   }
 
   /** Replaces the whole list; runners that are not in it are removed. */
-  replaceAll(runners: readonly GatewayRunner[]): void {
-    const listed = new Set(runners.map(({ runnerId }) => runnerId));
-    for (const runner of runners) this.put(runner);
+  replaceAll(runners: readonly GatewayRunner[], asOf: StorePosition): void {
+    this.#recordEra(asOf);
+    for (const runner of runners) this.#add(runner, { type: "listing", asOf });
+    const listedIds = new Set(runners.map(({ runnerId }) => runnerId));
     for (const runnerId of [...this.#runners.keys()]) {
-      if (!listed.has(runnerId)) this.remove(runnerId);
+      if (!listedIds.has(runnerId)) this.#removeAbsent(runnerId, asOf);
     }
+    const incarnationIds = new Set(runners.map(toIncarnationId));
+    this.#marks.confirmAbsences(incarnationIds, asOf);
   }
 
   /**
    * Marks one incarnation of a runner as leaving; see `toIncarnationId`.
-   * `ageMs` limits the age of the information, where it is known.
+   * `ageMs` limits the age of the statement, where it is known.
    */
   markLeaving(
     incarnationId: string,
-    cause: LeavingCause,
+    source: LeavingSource,
     ageMs?: number,
   ): void {
-    if (this.#leavingSinceMs.has(incarnationId)) return;
-    const nowMs = monotonicMs();
-    this.#leavingSinceMs.set(incarnationId, nowMs);
-    this.#evictOldMarks(nowMs);
-    this.#usable.clear();
-    const runner = [...this.#runners.values()].find(
-      (known) => toIncarnationId(known) === incarnationId,
-    );
-    this.#logger.info("runner_leaving", {
-      runner: incarnationId,
-      service: runner?.serviceId,
-      cause,
-      age_ms: ageMs,
-    });
-    if (runner) void this.events.emit("leaving", runner);
+    this.#mark(incarnationId, { type: "stated", source, ageMs });
   }
 
   /** Starts the grace period for expired registrations after an outage. */
@@ -149,26 +125,120 @@
     this.#graceEndsAtMs = monotonicMs() + REREGISTRATION_GRACE_MS;
   }
 
+  #recordEra({ era }: StorePosition): void {
+    this.#era = Math.max(era, this.#era ?? era);
+  }
+
+  #add(runner: GatewayRunner, sighting: RunnerSighting): void {
+    const { runnerId } = runner;
+    const known = this.#runners.get(runnerId);
+    // An update on an earlier incarnation may arrive late.
+    if (known && known.startedAtMs > runner.startedAtMs) return;
+    const isNew = known?.startedAtMs !== runner.startedAtMs;
+    if (known && isNew) this.markLeaving(toIncarnationId(known), "replaced");
+    this.#endPendingRemoval(runnerId, sighting, isNew);
+    this.#runners.set(runnerId, runner);
+    this.#usable.clear();
+    if (isNew)
+      this.#logger.info("runner_listed", {
+        runner: runnerId,
+        service: runner.serviceId,
+        zone: runner.availabilityZone,
+        state: runner.state,
+      });
+    if (runner.state === "leaving")
+      this.markLeaving(toIncarnationId(runner), "listed");
+    else this.#withdrawAbsence(runner, sighting);
+    if (isNew) void this.events.emit("changed");
+  }
+
+  #endPendingRemoval(
+    runnerId: string,
+    { asOf }: RunnerSighting,
+    isNew: boolean,
+  ): void {
+    const pending = this.#pendingRemovals.get(runnerId);
+    if (!pending) return;
+    if (isNew || compareStorePositions(asOf, pending.asOf) >= 0)
+      this.#pendingRemovals.delete(runnerId);
+  }
+
+  #withdrawAbsence(runner: GatewayRunner, sighting: RunnerSighting): void {
+    const incarnationId = toIncarnationId(runner);
+    const absentAsOf = this.#marks.withdrawAbsence(incarnationId, sighting);
+    if (!absentAsOf) return;
+    this.#logger.info("runner_returned", {
+      runner: incarnationId,
+      service: runner.serviceId,
+      by: sighting.type,
+      era: sighting.asOf.era,
+      revision: sighting.asOf.revision,
+      absent_era: absentAsOf.era,
+      absent_revision: absentAsOf.revision,
+    });
+    void this.events.emit("returned", runner);
+  }
+
+  #removeAbsent(runnerId: string, asOf: StorePosition): void {
+    const runner = this.#runners.get(runnerId);
+    if (!runner) return;
+    if (monotonicMs() < this.#graceEndsAtMs && !this.isLeaving(runnerId)) {
+      const { dueAtMs } = this.#pendingRemovals.get(runnerId) ?? {
+        dueAtMs: this.#graceEndsAtMs,
+      };
+      this.#pendingRemovals.set(runnerId, { dueAtMs, asOf });
+      return;
+    }
+    this.#drop(runner, asOf);
+  }
+
   #removeOverdue(): void {
-    if (this.#removalDueAtMs.size === 0) return;
+    if (this.#pendingRemovals.size === 0) return;
     const nowMs = monotonicMs();
-    for (const [runnerId, dueAtMs] of this.#removalDueAtMs) {
+    for (const [runnerId, { dueAtMs, asOf }] of this.#pendingRemovals) {
       if (nowMs < dueAtMs) continue;
-      this.#removalDueAtMs.delete(runnerId);
       const runner = this.#runners.get(runnerId);
-      if (runner) this.markLeaving(toIncarnationId(runner), "removed");
-      this.#runners.delete(runnerId);
-      this.#usable.clear();
+      if (runner) this.#drop(runner, asOf);
     }
   }
 
-  #evictOldMarks(nowMs: number): void {
-    const listed = new Set([...this.#runners.values()].map(toIncarnationId));
-    for (const [incarnationId, sinceMs] of this.#leavingSinceMs) {
-      if (nowMs - sinceMs < LEAVING_RETENTION_MS) return;
-      // A stale list may still say that it is ready.
-      if (listed.has(incarnationId)) continue;
-      this.#leavingSinceMs.delete(incarnationId);
-    }
+  #drop(runner: GatewayRunner, asOf: StorePosition): void {
+    this.#pendingRemovals.delete(runner.runnerId);
+    const incarnationId = toIncarnationId(runner);
+    const era = this.#era ?? asOf.era;
+    // Any list of this era is later than a late answer of an earlier one.
+    const isLate = asOf.era < era && !this.#marks.has(incarnationId);
+    this.#mark(incarnationId, {
+      type: "absent",
+      asOf: isLate ? { era, revision: 0 } : asOf,
+    });
+    this.#runners.delete(runner.runnerId);
+    this.#usable.clear();
+  }
+
+  #mark(incarnationId: string, evidence: LeavingEvidence): void {
+    const news = this.#marks.add(incarnationId, evidence);
+    if (news === "known") return;
+    const runners = [...this.#runners.values()];
+    this.#marks.evictUnlisted(new Set(runners.map(toIncarnationId)));
+    this.#usable.clear();
+    const runner = runners.find(
+      (known) => toIncarnationId(known) === incarnationId,
+    );
+    this.#logger.info("runner_leaving", {
+      runner: incarnationId,
+      service: runner?.serviceId,
+      ...describeEvidence(evidence),
+    });
+    if (runner && news === "new") void this.events.emit("leaving", runner);
+  }
+}
+
+function describeEvidence(evidence: LeavingEvidence) {
+  switch (evidence.type) {
+    case "stated":
+      return { cause: evidence.source, age_ms: evidence.ageMs };
+    case "absent":
+      return { cause: "removed", ...evidence.asOf };
   }
 }
--- a/packages/gateway/src/views/sync_runners.ts
+++ b/packages/gateway/src/views/sync_runners.ts
@@ -1,6 +1,7 @@
 import { readClocks, sleep, type ClockReading } from "@jujubeladder/utils";
 import type { MetadataStore } from "../model/metadata_store.js";
 import type { RunnerChange } from "../model/runner_change.js";
+import type { StorePosition } from "../model/store_position.js";
 import type { StoreReader } from "../model/store_reader.js";
 import { computeStoreBackoffMs } from "./compute_store_backoff_ms.js";
 import { recoverFromException } from "./recover_from_exception.js";
@@ -75,10 +76,11 @@
   const { value } = result;
   const read = { asOf: value.asOf, readAt: subtractAge(sentAt, value.ageMs) };
   if (value.type === "list") {
-    directory.replaceAll(value.runners);
+    directory.replaceAll(value.runners, toPosition(value.asOf));
     watchCache.replaceList(value.runners, read);
   } else {
-    for (const change of value.changes) applyChange(directory, change);
+    for (const change of value.changes)
+      applyChange(directory, change, toPosition(value.asOf));
     watchCache.applyChanges(value.changes, read);
   }
   return value.asOf;
@@ -113,7 +115,7 @@
   }
   health.recordSuccess();
   const { runners, asOf } = list.value;
-  directory.replaceAll(runners);
+  directory.replaceAll(runners, toPosition(asOf));
   watchCache.replaceList(runners, { asOf, readAt });
   return asOf;
 }
@@ -152,7 +154,8 @@
   const { value } = result;
   if (value.type === "history_lost") return undefined;
   const changes = value.type === "changed" ? value.value : [];
-  for (const change of changes) applyChange(directory, change);
+  for (const change of changes)
+    applyChange(directory, change, toPosition(value.asOf));
   watchCache.applyChanges(changes, { asOf: value.asOf, readAt });
   return value.asOf;
 }
@@ -161,13 +164,21 @@
   return { monotonicMs: at.monotonicMs - ageMs, wallMs: at.wallMs - ageMs };
 }
 
-function applyChange(directory: RunnerDirectory, change: RunnerChange): void {
+function toPosition(revision: number): StorePosition {
+  return { era: 0, revision };
+}
+
+function applyChange(
+  directory: RunnerDirectory,
+  change: RunnerChange,
+  asOf: StorePosition,
+): void {
   switch (change.type) {
     case "put":
-      directory.put(change.runner);
+      directory.put(change.runner, asOf);
       break;
     case "removed":
-      directory.remove(change.runnerId);
+      directory.remove(change.runnerId, asOf);
       break;
   }
 }
--- a/packages/metrics/src/counter_name.ts
+++ b/packages/metrics/src/counter_name.ts
@@ -2,7 +2,9 @@
  * Names of the counters. `answers_cut` counts responses aborted after their
  * head, `moves` the migrations of running generations, `preemptions_seen` the
  * preemptions that engines reported, `runners_leaving` the runners that became
- * known to be leaving, and `runner_pauses` the pauses that runners asked for.
+ * unusable as they leave, `runners_returned` those of them whose absence from
+ * the store was withdrawn, and `runner_pauses` the pauses that runners asked
+ * for.
  */
 export type CounterName =
   | "tokens"
@@ -12,6 +14,7 @@
   | "preemptions_seen"
   | "runners_lost"
   | "runners_leaving"
+  | "runners_returned"
   | "runner_pauses"
   | "refusals"
   | "requests"
