Gossip only what states that a runner is leaving

Callers would see fewer runners, at every instance: one that read a list without a runner told all others that it is leaving, and each held that as final. Its own mark came back to it as a peer's word.

Cause: the digests' marks were fed by every mark of the directory, so that an absence arrived as a statement.

Ruled out: telling absences as what they are. It needs a position for each, in digests whose size is bounded, and a peer's word of an absence may be outdated when it arrives; each instance has a view of the store, its own or a reader's, that is at most 1.8 s old. Leaving out marks that a peer told of: they are passed on as before, with their ages, by the membership itself.

Change: the directory emits `stated` for first-hand statements, also of a runner that is absent already, and only these are gossiped.

Measured: of the 7 tests of `gossiped_absence`, the one of an absence failed before; all pass. `runner_absence`, `odd_digests`, `leaving_notices` (23), `store_reader` (5) and `instance_state` (16) pass.

--- a/packages/gateway/src/mesh/create_membership.ts
+++ b/packages/gateway/src/mesh/create_membership.ts
@@ -12,7 +12,6 @@
 import { createId } from "@jujubeladder/utils";
 import type { LoadTracker } from "../decisions/load_tracker.js";
 import { SMALL_FLEET_MAX_INSTANCES } from "../decisions/small_fleet_max_instances.js";
-import { toIncarnationId } from "../model/to_incarnation_id.js";
 import type { ActiveConfig } from "../views/active_config.js";
 import type { RunnerDirectory } from "../views/runner_directory.js";
 import { createGossipExtension } from "./create_gossip_extension.js";
@@ -49,8 +48,10 @@
     dependencies;
   const { availabilityZone, region } = dependencies.settings;
   const leavingRunners = new LeavingRunners();
-  directory.events.on("leaving", (runner) => {
-    leavingRunners.add(toIncarnationId(runner));
+  // A mark that is gossiped is final. Absences are not: each instance sees them
+  // in its own view of the store, and their withdrawal, too.
+  directory.events.on("stated", (incarnationId) => {
+    leavingRunners.add(incarnationId);
   });
   return new Membership(
     {
--- a/packages/gateway/src/views/runner_directory.ts
+++ b/packages/gateway/src/views/runner_directory.ts
@@ -34,6 +34,8 @@
     leaving: GatewayRunner;
     /** An absence was withdrawn, so that the runner is usable again. */
     returned: GatewayRunner;
+    /** An incarnation was stated to be leaving; not by a peer. */
+    stated: string;
     changed: undefined;
   }>();
   readonly #logger: Logger;
@@ -230,6 +232,8 @@
       service: runner?.serviceId,
       ...describeEvidence(evidence),
     });
+    if (evidence.type === "stated" && evidence.source !== "peer")
+      void this.events.emit("stated", incarnationId);
     if (runner && news === "new") void this.events.emit("leaving", runner);
   }
 }
