Keep the runners that a restored store lacks for 2 s from its first answer

Callers would see streams moved off live runners, and fewer runners until these have registered again, after an outage of the store of less than a second or, at instances that follow a reader, of any length.

Cause: the grace in which a missing runner may register again began with the end of an outage of 1 s or more that the instance itself had seen.

Ruled out: a lower bound for outages. A follower has none of its own, and a lost connection is no restore.

Change: the grace also begins when a later era is first seen, in a list or a change, whoever told it; a late answer of an earlier era and an instance's first answer begin none. The removals that are put off have a class of their own.

Measured: 4 of the 7 tests of `reregistration_grace` failed before, all pass. `runner_absence` (16), `gossiped_absence` (7), `views` (10) and `placement_caches` pass. Until the store client passes the era on, it is 0 everywhere and the change has no effect in a running instance.

--- a/packages/gateway/src/views/runner_directory.ts
+++ b/packages/gateway/src/views/runner_directory.ts
@@ -1,7 +1,5 @@
 import Emittery from "emittery";
 import type { Logger } from "@jujubeladder/logger";
-import { monotonicMs } from "@jujubeladder/utils";
-import { compareStorePositions } from "../model/compare_store_positions.js";
 import type { GatewayRunner } from "../model/gateway_runner.js";
 import type { LeavingEvidence } from "../model/leaving_evidence.js";
 import type { LeavingSource } from "../model/leaving_source.js";
@@ -9,18 +7,7 @@
 import type { StorePosition } from "../model/store_position.js";
 import { toIncarnationId } from "../model/to_incarnation_id.js";
 import { LeavingMarks } from "./leaving_marks.js";
-
-/**
- * After an outage, the store guarantees that live runners register again
- * within this time.
- */
-const REREGISTRATION_GRACE_MS = 2_000;
-
-/** A removal that is put off, as the runner may register again. */
-interface PendingRemoval {
-  readonly dueAtMs: number;
-  readonly asOf: StorePosition;
-}
+import { PendingRemovals } from "./pending_removals.js";
 
 /**
  * The known runners, and which of them are leaving. Once an incarnation of a
@@ -41,10 +28,9 @@
   readonly #logger: Logger;
   readonly #runners = new Map<string, GatewayRunner>();
   readonly #marks = new LeavingMarks();
-  readonly #pendingRemovals = new Map<string, PendingRemoval>();
+  readonly #pendingRemovals = new PendingRemovals();
   /** The runners of each service that may receive requests, once listed. */
   readonly #usable = new Map<string, readonly GatewayRunner[]>();
-  #graceEndsAtMs = 0;
   #era: number | undefined;
 
   constructor(logger: Logger) {
@@ -89,9 +75,9 @@
   }
 
   /**
-   * Removes a runner that is no longer listed. Just after an outage of the
-   * store its registration may merely have expired, so that it is kept for a
-   * grace period in which it can register again.
+   * Removes a runner that is no longer listed. Just after an outage or a restore
+   * of the store its registration may merely have expired or been lost, so that
+   * it is kept for a grace period in which it can register again.
    */
   remove(runnerId: string, asOf: StorePosition): void {
     this.#recordEra(asOf);
@@ -124,11 +110,14 @@
 
   /** Starts the grace period for expired registrations after an outage. */
   startReregistrationGrace(): void {
-    this.#graceEndsAtMs = monotonicMs() + REREGISTRATION_GRACE_MS;
+    this.#pendingRemovals.startGrace();
   }
 
+  // A restored store lacks registrations, however short the outage seemed here.
   #recordEra({ era }: StorePosition): void {
-    this.#era = Math.max(era, this.#era ?? era);
+    const known = this.#era ?? era;
+    if (era > known) this.startReregistrationGrace();
+    this.#era = Math.max(era, known);
   }
 
   #add(runner: GatewayRunner, sighting: RunnerSighting): void {
@@ -138,7 +127,8 @@
     if (known && known.startedAtMs > runner.startedAtMs) return;
     const isNew = known?.startedAtMs !== runner.startedAtMs;
     if (known && isNew) this.markLeaving(toIncarnationId(known), "replaced");
-    this.#endPendingRemoval(runnerId, sighting, isNew);
+    if (isNew) this.#pendingRemovals.delete(runnerId);
+    else this.#pendingRemovals.cancelIfListed(runnerId, sighting.asOf);
     this.#runners.set(runnerId, runner);
     this.#usable.clear();
     if (isNew)
@@ -154,17 +144,6 @@
     if (isNew) void this.events.emit("changed");
   }
 
-  #endPendingRemoval(
-    runnerId: string,
-    { asOf }: RunnerSighting,
-    isNew: boolean,
-  ): void {
-    const pending = this.#pendingRemovals.get(runnerId);
-    if (!pending) return;
-    if (isNew || compareStorePositions(asOf, pending.asOf) >= 0)
-      this.#pendingRemovals.delete(runnerId);
-  }
-
   #withdrawAbsence(runner: GatewayRunner, sighting: RunnerSighting): void {
     const incarnationId = toIncarnationId(runner);
     const absentAsOf = this.#marks.withdrawAbsence(incarnationId, sighting);
@@ -184,21 +163,13 @@
   #removeAbsent(runnerId: string, asOf: StorePosition): void {
     const runner = this.#runners.get(runnerId);
     if (!runner) return;
-    if (monotonicMs() < this.#graceEndsAtMs && !this.isLeaving(runnerId)) {
-      const { dueAtMs } = this.#pendingRemovals.get(runnerId) ?? {
-        dueAtMs: this.#graceEndsAtMs,
-      };
-      this.#pendingRemovals.set(runnerId, { dueAtMs, asOf });
-      return;
-    }
-    this.#drop(runner, asOf);
+    const isKept = this.#pendingRemovals.isInGrace && !this.isLeaving(runnerId);
+    if (isKept) this.#pendingRemovals.putOff(runnerId, asOf);
+    else this.#drop(runner, asOf);
   }
 
   #removeOverdue(): void {
-    if (this.#pendingRemovals.size === 0) return;
-    const nowMs = monotonicMs();
-    for (const [runnerId, { dueAtMs, asOf }] of this.#pendingRemovals) {
-      if (nowMs < dueAtMs) continue;
+    for (const { runnerId, asOf } of this.#pendingRemovals.listOverdue()) {
       const runner = this.#runners.get(runnerId);
       if (runner) this.#drop(runner, asOf);
     }
