Move a run whose first move was given up when its runner leaves again

Callers would see a stream cut at the exit of its runner: a move that an absence began and that was given up (no room, a cut link) was over for good, although the runner can return and leave later.

Cause: a migration began once for each run, as a runner left once.

Ruled out: ending moves when a runner returns. A copy that is under way, or a run that was told to stop, would have to be undone; a move that goes on ends with the run whole at its target, which a test shows.

Change: `RunMigration` begins anew if its last move was given up and the stream goes on. The state machine is as it was.

Measured: of the 3 tests of `returned_runner`, the one of a move that was given up failed before; all pass. `advance_migration` (10), `run_migration` (1) and `leaving_streams` (6) pass.

--- a/packages/gateway/src/relay/run_migration.ts
+++ b/packages/gateway/src/relay/run_migration.ts
@@ -87,8 +87,12 @@
    * monotonic clock.
    */
   start(exitAtMs: number): void {
+    if (this.#ended.hasEnded) return;
+    // A source may return after a move was given up, and leave later.
+    if (this.#state.type === "given_up") this.#state = { type: "idle" };
     if (this.#state.type !== "idle") return;
     this.#sourceExitAtMs = exitAtMs;
+    this.#refusedRunnerIds.clear();
     const target = this.#targets.choose(this.#refusedRunnerIds);
     const action = this.#advance({ type: "source_leaves", target });
     this.#task = this.#execute(action);
