Take no runner for absent by a list older than its registration

Callers would see streams moved off a live runner, and no use of it until the next list: an instance that turns to a reader whose view is staler than its own gets a list that lacks the latest registrations. If the store is restored before that, a list of the later era does not withdraw the absence.

Cause: an absence counted at whichever position it was seen.

Ruled out: comparing across eras, where the order of positions tells nothing of what a list contains; and stores that tell no era, where a lower revision may be the later one, so that an absence there counts as before.

Change: the directory keeps the latest position at which each runner was sighted, and ignores an absence at an earlier one of the same era.

Measured: the new test of `runner_absence` failed before (16 of 17); all 17 pass, as do `reregistration_grace` (7), `gossiped_absence` (7), `returned_runner` (3) and `placement_caches` (2).

--- a/packages/gateway/src/__tests__/runner_absence.test.ts
+++ b/packages/gateway/src/__tests__/runner_absence.test.ts
@@ -60,6 +60,15 @@
   assert.equal(listIds(directory), ["b"]);
 });
 
+test("a staler reader's list does not remove a runner that registered since", () => {
+  const directory = createWithAbsent(at(110, 1));
+  directory.put(A, at(120, 1));
+  directory.replaceAll([B], at(115, 1));
+  assert.equal(listIds(directory), ["b", "a"]);
+  directory.remove("a", at(121, 1));
+  assert.equal(listIds(directory), ["b"]);
+});
+
 test("a store restored from a copy does not bring a removed runner back", () => {
   const directory = createWithAbsent(at(110));
   directory.replaceAll([A, B], at(90, 1));
--- a/packages/gateway/src/views/runner_directory.ts
+++ b/packages/gateway/src/views/runner_directory.ts
@@ -1,5 +1,6 @@
 import Emittery from "emittery";
 import type { Logger } from "@jujubeladder/logger";
+import { compareStorePositions } from "../model/compare_store_positions.js";
 import type { GatewayRunner } from "../model/gateway_runner.js";
 import type { LeavingEvidence } from "../model/leaving_evidence.js";
 import type { LeavingSource } from "../model/leaving_source.js";
@@ -27,6 +28,8 @@
   }>();
   readonly #logger: Logger;
   readonly #runners = new Map<string, GatewayRunner>();
+  /** The latest position at which the store showed each runner. */
+  readonly #sightedAsOf = new Map<string, StorePosition>();
   readonly #marks = new LeavingMarks();
   readonly #pendingRemovals = new PendingRemovals();
   /** The runners of each service that may receive requests, once listed. */
@@ -130,6 +133,7 @@
     if (isNew) this.#pendingRemovals.delete(runnerId);
     else this.#pendingRemovals.cancelIfListed(runnerId, sighting.asOf);
     this.#runners.set(runnerId, runner);
+    this.#recordSighting(runnerId, sighting.asOf);
     this.#usable.clear();
     if (isNew)
       this.#logger.info("runner_listed", {
@@ -144,6 +148,19 @@
     if (isNew) void this.events.emit("changed");
   }
 
+  #recordSighting(runnerId: string, asOf: StorePosition): void {
+    const known = this.#sightedAsOf.get(runnerId);
+    if (!known || compareStorePositions(asOf, known) > 0)
+      this.#sightedAsOf.set(runnerId, asOf);
+  }
+
+  // A staler reader's list may lack a runner that has registered since. In a
+  // store that tells no era, a lower revision may be the later one.
+  #isSightedSince(runnerId: string, { era, revision }: StorePosition): boolean {
+    const sighted = this.#sightedAsOf.get(runnerId);
+    return era > 0 && sighted?.era === era && sighted.revision > revision;
+  }
+
   #withdrawAbsence(runner: GatewayRunner, sighting: RunnerSighting): void {
     const incarnationId = toIncarnationId(runner);
     const absentAsOf = this.#marks.withdrawAbsence(incarnationId, sighting);
@@ -162,7 +179,7 @@
 
   #removeAbsent(runnerId: string, asOf: StorePosition): void {
     const runner = this.#runners.get(runnerId);
-    if (!runner) return;
+    if (!runner || this.#isSightedSince(runnerId, asOf)) return;
     const isKept = this.#pendingRemovals.isInGrace && !this.isLeaving(runnerId);
     if (isKept) this.#pendingRemovals.putOff(runnerId, asOf);
     else this.#drop(runner, asOf);
@@ -186,6 +203,7 @@
       asOf: isLate ? { era, revision: 0 } : asOf,
     });
     this.#runners.delete(runner.runnerId);
+    this.#sightedAsOf.delete(runner.runnerId);
     this.#usable.clear();
   }
 
