Condemn no live runner when the store is restored twice in a row

Callers would see a live runner out of use until its entry changes: a restored store lacks it, its 2 s end while the store is away again, and the first list after the second restore, in which it has registered, is of a later era and so did not withdraw the absence.

Cause: an absence at the end of the grace counted as one that the store had confirmed.

Ruled out: keeping the runner until the store is heard again, as a test binds the directory to end a grace by the clock; and lists of a later era as proof in general, as a gone runner would be used again. A view that was read within the grace confirms nothing either, so that answers count from 1.8 s after its end on.

Change: `RunnerAbsence` says whether it is confirmed. A list of a later era withdraws one that is not. `confirm` records an answer without changes, which the sync loops report. What is given up: a runner that left in the span that was lost, and that a second restore within about 4 s lists again, is taken for live until its entry goes; the store is not stable then.

--- a/packages/gateway/src/__tests__/placement_caches.test.ts
+++ b/packages/gateway/src/__tests__/placement_caches.test.ts
@@ -118,6 +118,7 @@
     runners: fc.array(runners, { maxLength: 4 }),
     asOf,
   }),
+  fc.record({ type: fc.constant("confirm" as const), asOf }),
   fc.record({ type: fc.constant("grace" as const) }),
   fc.record({
     type: fc.constant("wait" as const),
@@ -141,6 +142,9 @@
     case "replace":
       directory.replaceAll(change.runners, change.asOf);
       return;
+    case "confirm":
+      directory.confirm(change.asOf);
+      return;
     case "grace":
       directory.startReregistrationGrace();
       return;
--- a/packages/gateway/src/__tests__/reregistration_grace.test.ts
+++ b/packages/gateway/src/__tests__/reregistration_grace.test.ts
@@ -9,6 +9,7 @@
 const A = createRunner("a");
 const B = createRunner("b");
 const GRACE_MS = 2_000;
+const MAX_VIEW_AGE_MS = 1_800;
 const { performance } = globalThis;
 const realNow = performance.now.bind(performance);
 
@@ -98,6 +99,38 @@
   assert.equal(listIds(directory), ["b"]);
 });
 
+test("a store that goes again before the 2 s end does not condemn a live runner", () => {
+  const { directory } = createListed();
+  directory.replaceAll([B], at(2, 60));
+  nowMs += GRACE_MS;
+  assert.equal(listIds(directory), ["b"]);
+  directory.replaceAll([A, B], at(3, 62));
+  assert.equal(listIds(directory), ["b", "a"]);
+});
+
+test("a view read within the 2 s does not condemn a live runner after them", () => {
+  const { directory } = createListed();
+  directory.replaceAll([B], at(2, 60));
+  nowMs += GRACE_MS;
+  assert.equal(listIds(directory), ["b"]);
+  nowMs += MAX_VIEW_AGE_MS - 1;
+  directory.confirm(at(2, 61));
+  directory.replaceAll([B], at(2, 61));
+  directory.replaceAll([A, B], at(3, 62));
+  assert.equal(listIds(directory), ["b", "a"]);
+});
+
+test("a runner found missing after its 2 s does not return by a copy", () => {
+  const { directory } = createListed();
+  directory.replaceAll([B], at(2, 60));
+  nowMs += GRACE_MS;
+  assert.equal(listIds(directory), ["b"]);
+  nowMs += MAX_VIEW_AGE_MS;
+  directory.confirm(at(2, 60));
+  directory.replaceAll([A, B], at(3, 50));
+  assert.equal(listIds(directory), ["b"]);
+});
+
 test("the first list of an instance starts no grace", () => {
   const { directory } = createListed();
   directory.remove("a", at(1, 101));
--- a/packages/gateway/src/model/leaving_evidence.ts
+++ b/packages/gateway/src/model/leaving_evidence.ts
@@ -1,5 +1,5 @@
 import type { LeavingSource } from "./leaving_source.js";
-import type { StorePosition } from "./store_position.js";
+import type { RunnerAbsence } from "./runner_absence.js";
 
 /**
  * How it is known that an incarnation of a runner is leaving. A statement is
@@ -14,4 +14,4 @@
       /** Greatest age of the statement, where it is known. */
       readonly ageMs?: number | undefined;
     }
-  | { readonly type: "absent"; readonly asOf: StorePosition };
+  | ({ readonly type: "absent" } & RunnerAbsence);
--- a/packages/gateway/src/views/leaving_marks.ts
+++ b/packages/gateway/src/views/leaving_marks.ts
@@ -39,13 +39,25 @@
   }
 
   /** Records a list of the store, in which some incarnations are absent. */
-  confirmAbsences(listed: ReadonlySet<string>, asOf: StorePosition): void {
+  postponeAbsences(listed: ReadonlySet<string>, asOf: StorePosition): void {
     for (const [incarnationId, mark] of this.#marks) {
       if (listed.has(incarnationId)) continue;
       this.#postponeAbsence(incarnationId, mark, asOf);
     }
   }
 
+  /** Confirms the absences that an answer of the store did not withdraw. */
+  confirmAbsences(asOf: StorePosition): void {
+    for (const [incarnationId, { sinceMs, evidence }] of this.#marks) {
+      if (evidence.type === "stated" || evidence.isConfirmed) continue;
+      if (compareStorePositions(asOf, evidence.asOf) < 0) continue;
+      this.#marks.set(incarnationId, {
+        sinceMs,
+        evidence: { ...evidence, isConfirmed: true },
+      });
+    }
+  }
+
   /**
    * Withdraws an absence if the incarnation has registered since; returns where
    * it was seen.
@@ -56,7 +68,7 @@
   ): StorePosition | undefined {
     const evidence = this.#marks.get(incarnationId)?.evidence;
     if (evidence?.type !== "absent") return undefined;
-    if (!withdrawsAbsence(sighting, evidence.asOf)) return undefined;
+    if (!withdrawsAbsence(sighting, evidence)) return undefined;
     this.#marks.delete(incarnationId);
     return evidence.asOf;
   }
@@ -80,7 +92,7 @@
     if (compareStorePositions(asOf, evidence.asOf) <= 0) return;
     this.#marks.set(incarnationId, {
       sinceMs,
-      evidence: { type: "absent", asOf },
+      evidence: { ...evidence, asOf },
     });
   }
 }
--- a/packages/gateway/src/views/pending_removals.ts
+++ b/packages/gateway/src/views/pending_removals.ts
@@ -7,6 +7,8 @@
  * again within this time.
  */
 const REREGISTRATION_GRACE_MS = 2_000;
+/** A reader's view, which it may answer with, is no older. */
+const MAX_VIEW_AGE_MS = 1_800;
 
 interface PendingRemoval {
   readonly dueAtMs: number;
@@ -22,6 +24,11 @@
     return monotonicMs() < this.#graceEndsAtMs;
   }
 
+  /** True if an answer may still show the store as it was in the grace. */
+  get isAnswerFromGrace(): boolean {
+    return monotonicMs() < this.#graceEndsAtMs + MAX_VIEW_AGE_MS;
+  }
+
   /** Starts the grace, also for the removals that are pending already. */
   startGrace(): void {
     this.#graceEndsAtMs = monotonicMs() + REREGISTRATION_GRACE_MS;
--- a/packages/gateway/src/views/runner_directory.ts
+++ b/packages/gateway/src/views/runner_directory.ts
@@ -4,9 +4,11 @@
 import type { GatewayRunner } from "../model/gateway_runner.js";
 import type { LeavingEvidence } from "../model/leaving_evidence.js";
 import type { LeavingSource } from "../model/leaving_source.js";
+import type { RunnerAbsence } from "../model/runner_absence.js";
 import type { RunnerSighting } from "../model/runner_sighting.js";
 import type { StorePosition } from "../model/store_position.js";
 import { toIncarnationId } from "../model/to_incarnation_id.js";
+import { describeLeavingEvidence } from "./describe_leaving_evidence.js";
 import { LeavingMarks } from "./leaving_marks.js";
 import { PendingRemovals } from "./pending_removals.js";
 
@@ -96,7 +98,15 @@
       if (!listedIds.has(runnerId)) this.#removeAbsent(runnerId, asOf);
     }
     const incarnationIds = new Set(runners.map(toIncarnationId));
-    this.#marks.confirmAbsences(incarnationIds, asOf);
+    this.confirm(asOf);
+    this.#marks.postponeAbsences(incarnationIds, asOf);
+  }
+
+  /** Records that the list holds at a position, after all changes up to it. */
+  confirm(asOf: StorePosition): void {
+    // In a grace, a runner that is missing may still register.
+    if (this.#pendingRemovals.isAnswerFromGrace) return;
+    this.#marks.confirmAbsences(asOf);
   }
 
   /**
@@ -182,17 +192,20 @@
     if (!runner || this.#isSightedSince(runnerId, asOf)) return;
     const isKept = this.#pendingRemovals.isInGrace && !this.isLeaving(runnerId);
     if (isKept) this.#pendingRemovals.putOff(runnerId, asOf);
-    else this.#drop(runner, asOf);
+    else this.#drop(runner, { asOf, isConfirmed: true });
   }
 
   #removeOverdue(): void {
     for (const { runnerId, asOf } of this.#pendingRemovals.listOverdue()) {
       const runner = this.#runners.get(runnerId);
-      if (runner) this.#drop(runner, asOf);
+      if (!runner) continue;
+      // One that this era has shown was removed in it, and not lost before.
+      const isConfirmed = this.#sightedAsOf.get(runnerId)?.era === asOf.era;
+      this.#drop(runner, { asOf, isConfirmed });
     }
   }
 
-  #drop(runner: GatewayRunner, asOf: StorePosition): void {
+  #drop(runner: GatewayRunner, { asOf, isConfirmed }: RunnerAbsence): void {
     this.#pendingRemovals.delete(runner.runnerId);
     const incarnationId = toIncarnationId(runner);
     const era = this.#era ?? asOf.era;
@@ -201,6 +214,7 @@
     this.#mark(incarnationId, {
       type: "absent",
       asOf: isLate ? { era, revision: 0 } : asOf,
+      isConfirmed,
     });
     this.#runners.delete(runner.runnerId);
     this.#sightedAsOf.delete(runner.runnerId);
@@ -219,19 +233,10 @@
     this.#logger.info("runner_leaving", {
       runner: incarnationId,
       service: runner?.serviceId,
-      ...describeEvidence(evidence),
+      ...describeLeavingEvidence(evidence),
     });
     if (evidence.type === "stated" && evidence.source !== "peer")
       void this.events.emit("stated", incarnationId);
     if (runner && news === "new") void this.events.emit("leaving", runner);
   }
 }
-
-function describeEvidence(evidence: LeavingEvidence) {
-  switch (evidence.type) {
-    case "stated":
-      return { cause: evidence.source, age_ms: evidence.ageMs };
-    case "absent":
-      return { cause: "removed", ...evidence.asOf };
-  }
-}
--- a/packages/gateway/src/views/sync_runners.ts
+++ b/packages/gateway/src/views/sync_runners.ts
@@ -81,6 +81,7 @@
   } else {
     for (const change of value.changes)
       applyChange(directory, change, toPosition(value.asOf));
+    directory.confirm(toPosition(value.asOf));
     watchCache.applyChanges(value.changes, read);
   }
   return value.asOf;
@@ -156,6 +157,7 @@
   const changes = value.type === "changed" ? value.value : [];
   for (const change of changes)
     applyChange(directory, change, toPosition(value.asOf));
+  directory.confirm(toPosition(value.asOf));
   watchCache.applyChanges(changes, { asOf: value.asOf, readAt });
   return value.asOf;
 }
