Keep no lost start in use by a copy's entry of the start before

Callers would see requests sent to a runner that has ended: it started anew, a restored store lost that registration and lists its earlier start under the id, and the new one, which died meanwhile, stayed in use until that entry went.

Cause: a list counted as listing a runner if it had its id, of whichever start.

Ruled out: taking the earlier start for the one in use. A start known to be the later one always wins.

Change: a runner is missing from a list that lacks its incarnation, with the same grace and the same way back.

--- a/packages/gateway/src/__tests__/reregistration_grace.test.ts
+++ b/packages/gateway/src/__tests__/reregistration_grace.test.ts
@@ -131,6 +131,20 @@
   assert.equal(listIds(directory), ["b"]);
 });
 
+test("a copy's entry of an earlier start does not keep a lost one in use", () => {
+  const { directory } = createListed();
+  const restarted = createRunner("a", { startedAtMs: 2 });
+  directory.replaceAll([restarted, B], at(1, 110));
+  directory.replaceAll([A, B], at(2, 60));
+  assert.equal(listIds(directory), ["a", "b"]);
+  nowMs += GRACE_MS;
+  assert.equal(listIds(directory), ["b"]);
+  directory.replaceAll([A, B], at(2, 61));
+  assert.equal(listIds(directory), ["b"]);
+  directory.put(restarted, at(2, 62));
+  assert.equal(listIds(directory), ["b", "a"]);
+});
+
 test("the first list of an instance starts no grace", () => {
   const { directory } = createListed();
   directory.remove("a", at(1, 101));
--- a/packages/gateway/src/__tests__/restored_fleet_model.ts
+++ b/packages/gateway/src/__tests__/restored_fleet_model.ts
@@ -13,6 +13,7 @@
 const BEAT_MS = 1_200;
 const DRAIN_MS = 2_500;
 const MAX_READ_WAIT_MS = 700;
+const MAX_FOLLOW_WAIT_MS = 350;
 const RUNNER_COUNT = 12;
 const READER_COUNT = 3;
 /** Live runners are back within about two seconds of the store's return. */
@@ -39,6 +40,7 @@
   readonly #violations = new Set<string>();
   readonly #goneListedAgain = new Set<string>();
   #reader = 0;
+  #nextFollowMs = 0;
   #asOf: StorePosition | undefined;
   #returnsAtMs = Number.POSITIVE_INFINITY;
   #restoredAtMs = Number.NEGATIVE_INFINITY;
@@ -66,7 +68,7 @@
         const waitMs = this.#random() * MAX_READ_WAIT_MS;
         reader.read(this.#store, { nowMs: clock.nowMs, waitMs });
       }
-      if (this.#happens(0.3)) this.#follow();
+      if (clock.nowMs >= this.#nextFollowMs) this.#follow();
       this.#check();
     }
     await new Promise(setImmediate);
@@ -158,6 +160,8 @@
   }
 
   #follow(): void {
+    const { nowMs } = this.#clock;
+    this.#nextFollowMs = nowMs + this.#random() * MAX_FOLLOW_WAIT_MS;
     if (this.#happens(0.1))
       this.#reader = Math.floor(this.#random() * READER_COUNT);
     const answer = this.#readers[this.#reader]?.answer(
--- a/packages/gateway/src/views/runner_directory.ts
+++ b/packages/gateway/src/views/runner_directory.ts
@@ -93,13 +93,14 @@
   replaceAll(runners: readonly GatewayRunner[], asOf: StorePosition): void {
     this.#recordEra(asOf);
     for (const runner of runners) this.#add(runner, { type: "listing", asOf });
-    const listedIds = new Set(runners.map(({ runnerId }) => runnerId));
-    for (const runnerId of [...this.#runners.keys()]) {
-      if (!listedIds.has(runnerId)) this.#removeAbsent(runnerId, asOf);
+    // An entry of an earlier start does not list the known one.
+    const listed = new Set(runners.map(toIncarnationId));
+    for (const runner of [...this.#runners.values()]) {
+      if (!listed.has(toIncarnationId(runner)))
+        this.#removeAbsent(runner.runnerId, asOf);
     }
-    const incarnationIds = new Set(runners.map(toIncarnationId));
     this.confirm(asOf);
-    this.#marks.postponeAbsences(incarnationIds, asOf);
+    this.#marks.postponeAbsences(listed, asOf);
   }
 
   /** Records that the list holds at a position, after all changes up to it. */
