--- a/packages/gateway/src/mesh/peer_store_reader.ts
+++ b/packages/gateway/src/mesh/peer_store_reader.ts
@@ -6,6 +6,7 @@
 } from "@jujubeladder/protocol";
 import type { Result } from "@jujubeladder/types";
 import { describeError, setPatientTimeout } from "@jujubeladder/utils";
+import { MAX_VIEW_AGE_MS } from "../model/max_view_age_ms.js";
 import type { RunnerChange } from "../model/runner_change.js";
 import type { RunnerListUpdate } from "../model/runner_list_update.js";
 import type { StorePosition } from "../model/store_position.js";
@@ -17,8 +18,6 @@
 const RESPONSE_MARGIN_MS = 300;
 /** Wait of a call after an unanswered query, which has taken its time. */
 const UNANSWERED_WAIT_MS = 1;
-/** Older views are rejected, as a leaving runner gives only 2 s of notice. */
-const MAX_VIEW_AGE_MS = 1_800;
 
 /** The store has no changes after such a position, so that none would be seen. */
 const ODD_POSITION = {
--- a/packages/gateway/src/views/runner_directory.ts
+++ b/packages/gateway/src/views/runner_directory.ts
@@ -1,39 +1,42 @@
 import Emittery from "emittery";
 import type { Logger } from "@jujubeladder/logger";
-import { monotonicMs } from "@jujubeladder/utils";
+import { compareStorePositions } from "../model/compare_store_positions.js";
 import type { GatewayRunner } from "../model/gateway_runner.js";
+import type { LeavingEvidence } from "../model/leaving_evidence.js";
+import type { LeavingSource } from "../model/leaving_source.js";
+import type { RunnerAbsence } from "../model/runner_absence.js";
+import type { RunnerSighting } from "../model/runner_sighting.js";
+import type { StorePosition } from "../model/store_position.js";
 import { toIncarnationId } from "../model/to_incarnation_id.js";
-
-/**
- * After an outage, the store guarantees that live runners register again
- * within this time.
- */
-const REREGISTRATION_GRACE_MS = 2_000;
-/** Minimum time for which a runner stays marked as leaving. */
-const LEAVING_RETENTION_MS = 60_000;
-
-/** How it became known that a runner is leaving. */
-type LeavingCause =
-  "listed" | "removed" | "answer" | "refusal" | "order" | "report" | "peer";
+import { describeLeavingEvidence } from "./describe_leaving_evidence.js";
+import { LeavingMarks } from "./leaving_marks.js";
+import { PendingRemovals } from "./pending_removals.js";
 
 /**
  * The known runners, and which of them are leaving. Once an incarnation of a
- * runner (one start of its process) is marked as leaving, whichever source
- * reported it, no update reverts that. The mark is retained for as long as the
- * incarnation is listed, and at least for `LEAVING_RETENTION_MS`.
+ * runner (one start of its process) is stated to be leaving, by whichever
+ * source, no update reverts that. An absence from the store's list makes it
+ * unusable just as fast, until the store shows that it has registered since.
  */
 export class RunnerDirectory {
   readonly events = new Emittery<{
+    /** A runner is not usable any more. */
     leaving: GatewayRunner;
+    /** An absence was withdrawn, so that the runner is usable again. */
+    returned: GatewayRunner;
+    /** An incarnation was stated to be leaving; not by a peer. */
+    stated: string;
     changed: undefined;
   }>();
   readonly #logger: Logger;
   readonly #runners = new Map<string, GatewayRunner>();
-  readonly #leavingSinceMs = new Map<string, number>();
-  readonly #removalDueAtMs = new Map<string, number>();
+  /** The latest position at which the store showed each runner. */
+  readonly #sightedAsOf = new Map<string, StorePosition>();
+  readonly #marks = new LeavingMarks();
+  readonly #pendingRemovals = new PendingRemovals();
   /** The runners of each service that may receive requests, once listed. */
   readonly #usable = new Map<string, readonly GatewayRunner[]>();
-  #graceEndsAtMs = 0;
+  #era: number | undefined;
 
   constructor(logger: Logger) {
     this.#logger = logger;
@@ -50,7 +53,7 @@
   /** True for a runner that is leaving or is not known. */
   isLeaving(runnerId: string): boolean {
     const runner = this.#runners.get(runnerId);
-    return !runner || this.#leavingSinceMs.has(toIncarnationId(runner));
+    return !runner || this.#marks.has(toIncarnationId(runner));
   }
 
   /** Lists the runners of a service that may receive requests. */
@@ -67,108 +70,174 @@
     return usable;
   }
 
-  /** Adds or updates a runner; entries of older incarnations are ignored. */
-  put(runner: GatewayRunner): void {
-    const known = this.#runners.get(runner.runnerId);
-    // An update on an earlier incarnation may arrive late.
-    if (known && known.startedAtMs > runner.startedAtMs) return;
-    const isNew = known?.startedAtMs !== runner.startedAtMs;
-    if (known && isNew) this.markLeaving(toIncarnationId(known), "removed");
-    this.#removalDueAtMs.delete(runner.runnerId);
-    this.#runners.set(runner.runnerId, runner);
-    this.#usable.clear();
-    if (runner.state === "leaving")
-      this.markLeaving(toIncarnationId(runner), "listed");
-    if (!isNew) return;
-    this.#logger.info("runner_listed", {
-      runner: runner.runnerId,
-      service: runner.serviceId,
-      zone: runner.availabilityZone,
-      state: runner.state,
-    });
-    void this.events.emit("changed");
+  /**
+   * Adds or updates a runner by a change of the store, whose revision is at
+   * most `asOf`; entries of older incarnations are ignored.
+   */
+  put(runner: GatewayRunner, asOf: StorePosition): void {
+    this.#recordEra(asOf);
+    this.#add(runner, { type: "change", asOf });
   }
 
   /**
-   * Removes a runner that is no longer listed. Just after an outage of the
-   * store its registration may merely have expired, so that it is kept for a
-   * grace period in which it can register again.
+   * Removes a runner that is no longer listed. Just after an outage or a restore
+   * of the store its registration may merely have expired or been lost, so that
+   * it is kept for a grace period in which it can register again.
    */
-  remove(runnerId: string): void {
-    const runner = this.#runners.get(runnerId);
-    if (!runner) return;
-    const nowMs = monotonicMs();
-    if (nowMs < this.#graceEndsAtMs && !this.isLeaving(runnerId)) {
-      if (!this.#removalDueAtMs.has(runnerId)) {
-        this.#removalDueAtMs.set(runnerId, this.#graceEndsAtMs);
-      }
-      return;
-    }
-    this.markLeaving(toIncarnationId(runner), "removed");
-    this.#runners.delete(runnerId);
-    this.#usable.clear();
+  remove(runnerId: string, asOf: StorePosition): void {
+    this.#recordEra(asOf);
+    this.#removeAbsent(runnerId, asOf);
   }
 
   /** Replaces the whole list; runners that are not in it are removed. */
-  replaceAll(runners: readonly GatewayRunner[]): void {
-    const listed = new Set(runners.map(({ runnerId }) => runnerId));
-    for (const runner of runners) this.put(runner);
-    for (const runnerId of [...this.#runners.keys()]) {
-      if (!listed.has(runnerId)) this.remove(runnerId);
+  replaceAll(runners: readonly GatewayRunner[], asOf: StorePosition): void {
+    this.#recordEra(asOf);
+    for (const runner of runners) this.#add(runner, { type: "listing", asOf });
+    // An entry of an earlier start does not list the known one.
+    const listed = new Set(runners.map(toIncarnationId));
+    for (const runner of [...this.#runners.values()]) {
+      if (!listed.has(toIncarnationId(runner)))
+        this.#removeAbsent(runner.runnerId, asOf);
     }
+    this.confirm(asOf);
+    this.#marks.postponeAbsences(listed, asOf);
+  }
+
+  /** Records that the list holds at a position, after all changes up to it. */
+  confirm(asOf: StorePosition): void {
+    // In a grace, a runner that is missing may still register.
+    if (this.#pendingRemovals.isAnswerFromGrace) return;
+    this.#marks.confirmAbsences(asOf);
   }
 
   /**
    * Marks one incarnation of a runner as leaving; see `toIncarnationId`.
-   * `ageMs` limits the age of the information, where it is known.
+   * `ageMs` limits the age of the statement, where it is known.
    */
   markLeaving(
     incarnationId: string,
-    cause: LeavingCause,
+    source: LeavingSource,
     ageMs?: number,
   ): void {
-    if (this.#leavingSinceMs.has(incarnationId)) return;
-    const nowMs = monotonicMs();
-    this.#leavingSinceMs.set(incarnationId, nowMs);
-    this.#evictOldMarks(nowMs);
+    this.#mark(incarnationId, { type: "stated", source, ageMs });
+  }
+
+  /** Starts the grace period for expired registrations after an outage. */
+  startReregistrationGrace(): void {
+    this.#pendingRemovals.startGrace();
+  }
+
+  // A restored store lacks registrations, however short the outage seemed here.
+  #recordEra({ era }: StorePosition): void {
+    const known = this.#era ?? era;
+    if (era > known) this.startReregistrationGrace();
+    this.#era = Math.max(era, known);
+  }
+
+  #add(runner: GatewayRunner, sighting: RunnerSighting): void {
+    const { runnerId } = runner;
+    const known = this.#runners.get(runnerId);
+    // An update on an earlier incarnation may arrive late.
+    if (known && known.startedAtMs > runner.startedAtMs) return;
+    const isNew = known?.startedAtMs !== runner.startedAtMs;
+    if (known && isNew) this.markLeaving(toIncarnationId(known), "replaced");
+    if (isNew) this.#pendingRemovals.delete(runnerId);
+    else this.#pendingRemovals.cancelIfListed(runnerId, sighting.asOf);
+    this.#runners.set(runnerId, runner);
+    this.#recordSighting(runnerId, sighting.asOf);
     this.#usable.clear();
-    const runner = [...this.#runners.values()].find(
-      (known) => toIncarnationId(known) === incarnationId,
-    );
-    this.#logger.info("runner_leaving", {
+    if (isNew)
+      this.#logger.info("runner_listed", {
+        runner: runnerId,
+        service: runner.serviceId,
+        zone: runner.availabilityZone,
+        state: runner.state,
+      });
+    if (runner.state === "leaving")
+      this.markLeaving(toIncarnationId(runner), "listed");
+    else this.#withdrawAbsence(runner, sighting);
+    if (isNew) void this.events.emit("changed");
+  }
+
+  #recordSighting(runnerId: string, asOf: StorePosition): void {
+    const known = this.#sightedAsOf.get(runnerId);
+    if (!known || compareStorePositions(asOf, known) > 0)
+      this.#sightedAsOf.set(runnerId, asOf);
+  }
+
+  // A staler reader's list may lack a runner that has registered since. In a
+  // store that tells no era, a lower revision may be the later one.
+  #isSightedSince(runnerId: string, { era, revision }: StorePosition): boolean {
+    const sighted = this.#sightedAsOf.get(runnerId);
+    return era > 0 && sighted?.era === era && sighted.revision > revision;
+  }
+
+  #withdrawAbsence(runner: GatewayRunner, sighting: RunnerSighting): void {
+    const incarnationId = toIncarnationId(runner);
+    const absentAsOf = this.#marks.withdrawAbsence(incarnationId, sighting);
+    if (!absentAsOf) return;
+    this.#logger.info("runner_returned", {
       runner: incarnationId,
-      service: runner?.serviceId,
-      cause,
-      age_ms: ageMs,
+      service: runner.serviceId,
+      by: sighting.type,
+      era: sighting.asOf.era,
+      revision: sighting.asOf.revision,
+      absent_era: absentAsOf.era,
+      absent_revision: absentAsOf.revision,
     });
-    if (runner) void this.events.emit("leaving", runner);
+    void this.events.emit("returned", runner);
   }
 
-  /** Starts the grace period for expired registrations after an outage. */
-  startReregistrationGrace(): void {
-    this.#graceEndsAtMs = monotonicMs() + REREGISTRATION_GRACE_MS;
+  #removeAbsent(runnerId: string, asOf: StorePosition): void {
+    const runner = this.#runners.get(runnerId);
+    if (!runner || this.#isSightedSince(runnerId, asOf)) return;
+    const isKept = this.#pendingRemovals.isInGrace && !this.isLeaving(runnerId);
+    if (isKept) this.#pendingRemovals.putOff(runnerId, asOf);
+    else this.#drop(runner, { asOf, isConfirmed: true });
   }
 
   #removeOverdue(): void {
-    if (this.#removalDueAtMs.size === 0) return;
-    const nowMs = monotonicMs();
-    for (const [runnerId, dueAtMs] of this.#removalDueAtMs) {
-      if (nowMs < dueAtMs) continue;
-      this.#removalDueAtMs.delete(runnerId);
+    for (const { runnerId, asOf } of this.#pendingRemovals.listOverdue()) {
       const runner = this.#runners.get(runnerId);
-      if (runner) this.markLeaving(toIncarnationId(runner), "removed");
-      this.#runners.delete(runnerId);
-      this.#usable.clear();
+      if (!runner) continue;
+      // One that this era has shown was removed in it, and not lost before.
+      const isConfirmed = this.#sightedAsOf.get(runnerId)?.era === asOf.era;
+      this.#drop(runner, { asOf, isConfirmed });
     }
   }
 
-  #evictOldMarks(nowMs: number): void {
-    const listed = new Set([...this.#runners.values()].map(toIncarnationId));
-    for (const [incarnationId, sinceMs] of this.#leavingSinceMs) {
-      if (nowMs - sinceMs < LEAVING_RETENTION_MS) return;
-      // A stale list may still say that it is ready.
-      if (listed.has(incarnationId)) continue;
-      this.#leavingSinceMs.delete(incarnationId);
-    }
+  #drop(runner: GatewayRunner, { asOf, isConfirmed }: RunnerAbsence): void {
+    this.#pendingRemovals.delete(runner.runnerId);
+    const incarnationId = toIncarnationId(runner);
+    const era = this.#era ?? asOf.era;
+    // Any list of this era is later than a late answer of an earlier one.
+    const isLate = asOf.era < era && !this.#marks.has(incarnationId);
+    this.#mark(incarnationId, {
+      type: "absent",
+      asOf: isLate ? { era, revision: 0 } : asOf,
+      isConfirmed,
+    });
+    this.#runners.delete(runner.runnerId);
+    this.#sightedAsOf.delete(runner.runnerId);
+    this.#usable.clear();
+  }
+
+  #mark(incarnationId: string, evidence: LeavingEvidence): void {
+    const news = this.#marks.add(incarnationId, evidence);
+    if (news === "known") return;
+    const runners = [...this.#runners.values()];
+    this.#marks.evictUnlisted(new Set(runners.map(toIncarnationId)));
+    this.#usable.clear();
+    const runner = runners.find(
+      (known) => toIncarnationId(known) === incarnationId,
+    );
+    this.#logger.info("runner_leaving", {
+      runner: incarnationId,
+      service: runner?.serviceId,
+      ...describeLeavingEvidence(evidence),
+    });
+    if (evidence.type === "stated" && evidence.source !== "peer")
+      void this.events.emit("stated", incarnationId);
+    if (runner && news === "new") void this.events.emit("leaving", runner);
   }
 }
--- a/packages/gateway/src/views/sync_runners.ts
+++ b/packages/gateway/src/views/sync_runners.ts
@@ -80,10 +80,12 @@
   store.recordPeerEra(value.asOf.era, reader.instanceId);
   const read = { asOf: value.asOf, readAt: subtractAge(sentAt, value.ageMs) };
   if (value.type === "list") {
-    directory.replaceAll(value.runners);
+    directory.replaceAll(value.runners, value.asOf);
     watchCache.replaceList(value.runners, read);
   } else {
-    for (const change of value.changes) applyChange(directory, change);
+    for (const change of value.changes)
+      applyChange(directory, change, value.asOf);
+    directory.confirm(value.asOf);
     watchCache.applyChanges(value.changes, read);
   }
   return value.asOf;
@@ -118,7 +120,7 @@
   }
   health.recordSuccess();
   const { runners, asOf } = list.value;
-  directory.replaceAll(runners);
+  directory.replaceAll(runners, asOf);
   watchCache.replaceList(runners, { asOf, readAt });
   return asOf;
 }
@@ -157,7 +159,8 @@
   const { value } = result;
   if (value.type === "history_lost") return undefined;
   const changes = value.type === "changed" ? value.value : [];
-  for (const change of changes) applyChange(directory, change);
+  for (const change of changes) applyChange(directory, change, value.asOf);
+  directory.confirm(value.asOf);
   watchCache.applyChanges(changes, { asOf: value.asOf, readAt });
   return value.asOf;
 }
@@ -166,13 +169,17 @@
   return { monotonicMs: at.monotonicMs - ageMs, wallMs: at.wallMs - ageMs };
 }
 
-function applyChange(directory: RunnerDirectory, change: RunnerChange): void {
+function applyChange(
+  directory: RunnerDirectory,
+  change: RunnerChange,
+  asOf: StorePosition,
+): void {
   switch (change.type) {
     case "put":
-      directory.put(change.runner);
+      directory.put(change.runner, asOf);
       break;
     case "removed":
-      directory.remove(change.runnerId);
+      directory.remove(change.runnerId, asOf);
       break;
   }
 }
