--- a/packages/gateway/src/views/runner_watch_cache.ts
+++ b/packages/gateway/src/views/runner_watch_cache.ts
@@ -1,14 +1,18 @@
 import { maxElapsedMs, type ClockReading } from "@jujubeladder/utils";
+import { compareStorePositions } from "../model/compare_store_positions.js";
 import type { GatewayRunner } from "../model/gateway_runner.js";
 import type { RunnerListUpdate } from "../model/runner_list_update.js";
 import type { RunnerChange } from "../model/runner_change.js";
+import type { StorePosition } from "../model/store_position.js";
 import { ChangeSignal } from "./change_signal.js";
 
+const INITIAL_POSITION: StorePosition = { era: 0, revision: 0 };
+
 /** Peers that are behind the oldest entry get the whole list. */
 const MAX_LOG_ENTRIES = 500;
 
 interface LogEntry {
-  readonly asOf: number;
+  readonly asOf: StorePosition;
   readonly changes: readonly RunnerChange[];
 }
 
@@ -21,22 +25,22 @@
   readonly #log: LogEntry[] = [];
   readonly #changed = new ChangeSignal();
   readonly #onChanged: () => void;
-  #logStart = 0;
-  #asOf = 0;
-  #changedAsOf = 0;
+  #logStart = INITIAL_POSITION;
+  #asOf = INITIAL_POSITION;
+  #changedAsOf = INITIAL_POSITION;
   #readAt: ClockReading | undefined;
 
   constructor(options: { readonly onChanged?: () => void } = {}) {
     this.#onChanged = options.onChanged ?? (() => undefined);
   }
 
-  /** The store's revision of the list; 0 before the first read. */
-  get asOf(): number {
+  /** The store's position of the list; at revision 0 before the first read. */
+  get asOf(): StorePosition {
     return this.#asOf;
   }
 
-  /** The revision up to which the list has changed. */
-  get changedAsOf(): number {
+  /** The position up to which the list has changed. */
+  get changedAsOf(): StorePosition {
     return this.#changedAsOf;
   }
 
@@ -48,7 +52,7 @@
   /** Replaces the list; `readAt` must be no later than the read's sending. */
   replaceList(
     runners: readonly GatewayRunner[],
-    read: { readonly asOf: number; readonly readAt: ClockReading },
+    read: { readonly asOf: StorePosition; readonly readAt: ClockReading },
   ): void {
     this.#runners.clear();
     for (const runner of runners) this.#runners.set(runner.runnerId, runner);
@@ -61,7 +65,7 @@
   /** Applies the changes since the last read, of which there may be none. */
   applyChanges(
     changes: readonly RunnerChange[],
-    read: { readonly asOf: number; readonly readAt: ClockReading },
+    read: { readonly asOf: StorePosition; readonly readAt: ClockReading },
   ): void {
     for (const change of changes) {
       if (change.type === "put") {
@@ -78,23 +82,26 @@
   }
 
   /**
-   * Returns the changes after a revision, or the whole list. Waits for a change
+   * Returns the changes after a position, or the whole list. Waits for a change
    * while `shouldWait` holds; undefined if this instance is behind `asOf` or
    * has read nothing yet.
    */
   async readSince(
-    asOf: number,
+    asOf: StorePosition | undefined,
     options: { readonly waitMs: number; readonly shouldWait: () => boolean },
   ): Promise<RunnerListUpdate | undefined> {
-    const isDone = () => this.#asOf > asOf || !options.shouldWait();
+    const since = asOf ?? INITIAL_POSITION;
+    const isDone = () =>
+      compareStorePositions(this.#asOf, since) > 0 || !options.shouldWait();
     await this.#changed.waitUntil(isDone, options.waitMs);
-    if (!this.#readAt || this.#asOf < asOf) return undefined;
+    const isBehind = compareStorePositions(this.#asOf, since) < 0;
+    if (!this.#readAt || isBehind) return undefined;
     const known = { asOf: this.#asOf, ageMs: maxElapsedMs(this.#readAt) };
-    if (asOf === 0 || asOf < this.#logStart) {
+    if (!asOf || compareStorePositions(asOf, this.#logStart) < 0) {
       return { ...known, type: "list", runners: [...this.#runners.values()] };
     }
     const changes = this.#log
-      .filter((entry) => entry.asOf > asOf)
+      .filter((entry) => compareStorePositions(entry.asOf, asOf) > 0)
       .flatMap((entry) => entry.changes);
     return { ...known, type: "changes", changes };
   }
@@ -106,10 +113,14 @@
   }
 
   #recordRead(read: {
-    readonly asOf: number;
+    readonly asOf: StorePosition;
     readonly readAt: ClockReading;
   }): void {
-    this.#asOf = Math.max(this.#asOf, read.asOf);
+    // Within an era, a list of a peer may be older than what was told of here.
+    const isOtherEra = read.asOf.era !== this.#asOf.era;
+    if (isOtherEra || compareStorePositions(read.asOf, this.#asOf) > 0) {
+      this.#asOf = read.asOf;
+    }
     this.#readAt = read.readAt;
   }
 }
