Confirm no version by a store that may just have been restored

Callers would be let in with a key that an acknowledged version took away: an instance that starts, or comes back into touch, soon after a restore reads the older version, confirms it as the newest, and is ready.

Cause: each read of the store counted as proof of the newest version, though the store may have lost one that the operator is about to write again.

Ruled out: waiting for the operator's next write. After a restore that lost no version, keys would be refused until the next change.

Change: a read confirms if it was sent 2 s after the store's era was first heard of, or once the operator has written in that era; a store that tells no era is believed as before. Until then the last confirmation counts, or a peer's, which names the document by its hash and may come before it. A fresh instance is not ready before either, or 2 s. Readers tell the age of their reads apart from that of the confirmation (new fields of ViewState and WatchConfigResponse), so that followers don't take them for failed and read the store themselves.

--- a/packages/gateway/src/mesh/create_gossip_extension.ts
+++ b/packages/gateway/src/mesh/create_gossip_extension.ts
@@ -82,10 +82,9 @@
       // A response describes the peer's state at some time after the call was
       // sent, so the age counts from the sending. For an incoming call no such
       // lower bound is known.
-      const { confirmedAgeMs } = digest;
-      const isSame = Number(digest.revision) === activeConfig.version;
-      if (sentAt && confirmedAgeMs !== undefined && isSame) {
-        activeConfig.confirm({
+      const { confirmedAgeMs, documentHash } = digest;
+      if (sentAt && confirmedAgeMs !== undefined && documentHash) {
+        activeConfig.confirmDocument(documentHash, {
           monotonicMs: sentAt.monotonicMs - confirmedAgeMs,
           wallMs: sentAt.wallMs - confirmedAgeMs,
         });
--- a/packages/gateway/src/mesh/create_view_handlers.ts
+++ b/packages/gateway/src/mesh/create_view_handlers.ts
@@ -29,10 +29,13 @@
         shouldWait: () => configHealth.isHealthy,
       });
       const ageMs = activeConfig.confirmedAgeMs;
+      const { readAgeMs } = activeConfig;
       const isConfirmed = configHealth.isHealthy && Number.isFinite(ageMs);
+      const isRead = configHealth.isHealthy && Number.isFinite(readAgeMs);
       return {
         version: BigInt(activeConfig.version),
         ...(isConfirmed ? { ageMs: Math.ceil(Math.max(0, ageMs)) } : {}),
+        ...(isRead ? { readAgeMs: Math.ceil(Math.max(0, readAgeMs)) } : {}),
       };
     },
     watchRunners: async ({ asOf, asOfEra: era, waitMs }) => {
--- a/packages/gateway/src/mesh/peer_store_reader.ts
+++ b/packages/gateway/src/mesh/peer_store_reader.ts
@@ -56,21 +56,17 @@
   async watchConfig(options: {
     readonly version: number;
     readonly waitMs: number;
-  }): Promise<
-    Result<{ readonly version: number; readonly ageMs: number }, string>
-  > {
+  }): ReturnType<StoreReader["watchConfig"]> {
     const { version } = options;
     const view = await this.#pollView();
     const waitMs = view ? options.waitMs : UNANSWERED_WAIT_MS;
     // A peer that is behind may catch up during the call.
     if (view && Number(view.configVersion) >= version) {
-      const { configAgeMs: ageMs } = view;
-      if (ageMs === undefined || ageMs > MAX_VIEW_AGE_MS)
-        return staleView(ageMs);
-      return {
-        ok: true,
-        value: { version: Number(view.configVersion), ageMs },
-      };
+      return checkConfigAge({
+        version: Number(view.configVersion),
+        ageMs: view.configAgeMs,
+        readAgeMs: view.configReadAgeMs,
+      });
     }
     try {
       const response = await callWithin(waitMs, async (signal) =>
@@ -79,10 +75,12 @@
           { signal },
         ),
       );
-      const { ageMs } = response;
-      if (ageMs === undefined || ageMs > MAX_VIEW_AGE_MS)
-        return staleView(ageMs);
-      return { ok: true, value: { version: Number(response.version), ageMs } };
+      const { ageMs, readAgeMs } = response;
+      return checkConfigAge({
+        version: Number(response.version),
+        ageMs,
+        readAgeMs,
+      });
     } catch (error) {
       return { ok: false, error: describeError(error) };
     }
@@ -175,6 +173,19 @@
   }
 }
 
+// A confirmation from before a restore is old, the reads since then are not.
+function checkConfigAge(view: {
+  readonly version: number;
+  readonly ageMs: number | undefined;
+  readonly readAgeMs: number | undefined;
+}): Awaited<ReturnType<StoreReader["watchConfig"]>> {
+  const { version, ageMs } = view;
+  const readAgeMs = view.readAgeMs ?? ageMs;
+  return readAgeMs === undefined || readAgeMs > MAX_VIEW_AGE_MS
+    ? staleView(readAgeMs)
+    : { ok: true, value: { version, ageMs, readAgeMs } };
+}
+
 function staleView(ageMs: number | undefined): Result<never, string> {
   const view =
     ageMs === undefined ? "no current view" : `a view ${ageMs} ms old`;
--- a/packages/gateway/src/mesh/read_view_state.ts
+++ b/packages/gateway/src/mesh/read_view_state.ts
@@ -17,10 +17,12 @@
   const { activeConfig, configHealth, watchCache, runnersHealth } =
     dependencies;
   const configAgeMs = toAge(configHealth, activeConfig.confirmedAgeMs);
+  const configReadAgeMs = toAge(configHealth, activeConfig.readAgeMs);
   const runnersAgeMs = toAge(runnersHealth, watchCache.ageMs);
   return create(ViewStateSchema, {
     configVersion: BigInt(activeConfig.version),
     ...(configAgeMs === undefined ? {} : { configAgeMs }),
+    ...(configReadAgeMs === undefined ? {} : { configReadAgeMs }),
     runnersAsOf: BigInt(watchCache.asOf.revision),
     runnersEra: BigInt(watchCache.asOf.era),
     runnersChangedAsOf: BigInt(watchCache.changedAsOf.revision),
--- a/packages/gateway/src/model/metadata_store.ts
+++ b/packages/gateway/src/model/metadata_store.ts
@@ -11,6 +11,11 @@
 export interface MetadataStore {
   /** The latest era that the store itself has told; 0 before. */
   readonly era: number;
+  /**
+   * For how long that era has been known; infinite for a store that tells none,
+   * and 0 before the first answer.
+   */
+  readonly eraAgeMs: number;
   /**
    * Records an era that a peer tells. A greater one voids the positions of
    * earlier eras, until a read that is sent afterwards shows otherwise.
--- a/packages/gateway/src/model/store_reader.ts
+++ b/packages/gateway/src/model/store_reader.ts
@@ -15,8 +15,13 @@
     Result<
       {
         readonly version: number;
-        /** Time since the store confirmed that this version is the latest. */
-        readonly ageMs: number;
+        /**
+         * Time since the store confirmed that this version is the latest;
+         * undefined if that is not known, as after a restore.
+         */
+        readonly ageMs: number | undefined;
+        /** Time since the store was read, whatever it held. */
+        readonly readAgeMs: number;
       },
       string
     >
--- a/packages/gateway/src/server/gateway_instance.ts
+++ b/packages/gateway/src/server/gateway_instance.ts
@@ -234,6 +234,7 @@
     return (
       this.#plannedStop.exitAtMs === undefined &&
       this.#activeConfig.version > 0 &&
+      this.#activeConfig.isSettled &&
       this.#directory.size > 0 &&
       this.#activeConfig.confirmedAgeMs <= maxAgeMs
     );
--- a/packages/gateway/src/views/active_config.ts
+++ b/packages/gateway/src/views/active_config.ts
@@ -2,6 +2,7 @@
 import type { Logger } from "@jujubeladder/logger";
 import {
   maxElapsedMs,
+  monotonicMs,
   sha256Hex,
   type ClockReading,
 } from "@jujubeladder/utils";
@@ -14,6 +15,9 @@
 import { ChangeSignal } from "./change_signal.js";
 import type { ConfigSource } from "./config_source.js";
 
+/** A peer's word on a document, or this time, lets an instance be ready. */
+const START_WAIT_MS = 2_000;
+
 interface ActiveState {
   readonly config: GatewayConfig;
   readonly text: string;
@@ -34,6 +38,11 @@
   readonly #logger: Logger;
   #active: ActiveState | undefined;
   #confirmedAt: ClockReading | undefined;
+  /** A peer's latest confirmation of a document that isn't active here. */
+  #otherConfirmed:
+    { readonly hash: string; readonly at: ClockReading } | undefined;
+  #readAt: ClockReading | undefined;
+  #activeSinceMs: number | undefined;
 
   constructor(codec: GatewayCodec, logger: Logger) {
     this.#codec = codec;
@@ -69,6 +78,23 @@
       : Number.POSITIVE_INFINITY;
   }
 
+  /** Milliseconds since the store was read, whatever it held. */
+  get readAgeMs(): number {
+    return this.#readAt ? maxElapsedMs(this.#readAt) : Number.POSITIVE_INFINITY;
+  }
+
+  /**
+   * False on a start until some source has confirmed the version, or had the
+   * time to: the store may have been restored just now.
+   */
+  get isSettled(): boolean {
+    if (this.#confirmedAt) return true;
+    return (
+      this.#activeSinceMs !== undefined &&
+      monotonicMs() - this.#activeSinceMs >= START_WAIT_MS
+    );
+  }
+
   /** Waits for a version above the given one while `shouldWait` holds. */
   async waitForVersionAbove(
     version: number,
@@ -100,6 +126,7 @@
     }
     const config = decoded.value;
     if (config.version <= this.version) return false;
+    this.#activeSinceMs ??= monotonicMs();
     this.#active = {
       config,
       text,
@@ -110,6 +137,8 @@
       ),
       servicesById: new Map(config.services.map((s) => [s.serviceId, s])),
     };
+    const { hash, at } = this.#otherConfirmed ?? {};
+    if (at && hash === this.#active.hash) this.confirm(at);
     this.#logger.info("configuration_in_force", {
       source,
       version: config.version,
@@ -121,14 +150,32 @@
     return true;
   }
 
+  /**
+   * Records a peer's confirmation, which holds for the document with that hash:
+   * it may become the active one later.
+   */
+  confirmDocument(hash: string, at: ClockReading): void {
+    if (hash === this.#active?.hash) this.confirm(at);
+    else this.#otherConfirmed = { hash, at };
+  }
+
+  /** Records a read of the store that was sent at `at`, or later. */
+  recordRead(at: ClockReading): void {
+    this.#readAt = laterOf(this.#readAt, at);
+  }
+
   /**
    * Records that the active version was the newest at `at`, which must be no
    * later than the sending of the read that showed it.
    */
   confirm(at: ClockReading): void {
-    const known = this.#confirmedAt;
-    if (!known || maxElapsedMs(at) < maxElapsedMs(known)) {
-      this.#confirmedAt = at;
-    }
+    this.#confirmedAt = laterOf(this.#confirmedAt, at);
   }
 }
+
+function laterOf(
+  known: ClockReading | undefined,
+  at: ClockReading,
+): ClockReading {
+  return known && maxElapsedMs(known) <= maxElapsedMs(at) ? known : at;
+}
--- a/packages/gateway/src/views/store_era_tracker.ts
+++ b/packages/gateway/src/views/store_era_tracker.ts
@@ -16,6 +16,9 @@
   readonly #logger: Pick<Logger, "info" | "warn">;
   #told: number | undefined;
   #toldAtMs = 0;
+  /** When the told era was first heard of; unlimited if none is ever told. */
+  #heardAtMs = Number.POSITIVE_INFINITY;
+  #claimedAtMs = 0;
   #claimed: number | undefined;
   /** No more claims count then until the store tells another era. */
   #isClaimRefuted = false;
@@ -29,6 +32,11 @@
     return this.#told ?? 0;
   }
 
+  /** For how long the told era has been known, by a peer's claim or so. */
+  get toldAgeMs(): number {
+    return Math.max(0, monotonicMs() - this.#heardAtMs);
+  }
+
   /** The greater era that a peer claims, if there is one. */
   get claimed(): number | undefined {
     return this.#claimed;
@@ -44,6 +52,7 @@
     // Without an answer of the store there is no position to void.
     if (this.#told === undefined || this.#isClaimRefuted) return;
     if (!Number.isSafeInteger(era) || era <= this.current) return;
+    this.#claimedAtMs = monotonicMs();
     if (this.#claimed === undefined) {
       this.#logger.info("store_era_claimed", {
         peer: peerId,
@@ -60,7 +69,10 @@
    */
   recordAnswer(era: number | undefined): void {
     if (era === undefined) {
-      this.#told ??= 0;
+      if (this.#told === undefined) {
+        this.#told = 0;
+        this.#heardAtMs = Number.NEGATIVE_INFINITY;
+      }
       return;
     }
     const nowMs = monotonicMs();
@@ -72,6 +84,7 @@
     this.#told = era;
     this.#toldAtMs = nowMs;
     if (era === known) return;
+    this.#heardAtMs = this.#claimed === era ? this.#claimedAtMs : nowMs;
     this.#isClaimRefuted = false;
     if (this.#claimed !== undefined && this.#claimed <= era) {
       this.#claimed = undefined;
--- a/packages/gateway/src/views/sync_config.ts
+++ b/packages/gateway/src/views/sync_config.ts
@@ -1,4 +1,4 @@
-import { readClocks, sleep } from "@jujubeladder/utils";
+import { readClocks, sleep, type ClockReading } from "@jujubeladder/utils";
 import type { MetadataStore } from "../model/metadata_store.js";
 import type { StorePosition } from "../model/store_position.js";
 import type { StoreReader } from "../model/store_reader.js";
@@ -16,6 +16,10 @@
 const WATCH_WAIT_MS = 700;
 /** Detects connections that have stopped responding. */
 const CALL_TIMEOUT_MS = 1_200;
+/**
+ * After a restore, what the operator wrote last may be missing for this long.
+ */
+const REWRITE_MS = 2_000;
 
 /** Dependencies of the sync loop. */
 interface ConfigSyncDependencies {
@@ -29,11 +33,17 @@
 /** Position in the watch of the store. */
 interface WatchPosition {
   readonly asOf: StorePosition | undefined;
-  /** False while the store's newest configuration is an invalid one. */
+  /** False while the store holds another document than the active one. */
   readonly isNewest: boolean;
+  /** True once the operator is known to have written in the store's era. */
+  readonly isWritten: boolean;
 }
 
-const INITIAL_POSITION: WatchPosition = { asOf: undefined, isNewest: false };
+const INITIAL_POSITION: WatchPosition = {
+  asOf: undefined,
+  isNewest: false,
+  isWritten: false,
+};
 
 /**
  * Keeps the active configuration in sync with the store. A peer that reads the
@@ -71,7 +81,7 @@
     readerProvider.recordFailure(reader, result.error);
     return false;
   }
-  const { version: peerVersion, ageMs } = result.value;
+  const { version: peerVersion, ageMs, readAgeMs } = result.value;
   if (peerVersion < activeConfig.version) {
     readerProvider.recordFailure(
       reader,
@@ -81,10 +91,8 @@
   }
   health.recordSuccess();
   if (peerVersion > activeConfig.version) return false;
-  activeConfig.confirm({
-    monotonicMs: sentAt.monotonicMs - ageMs,
-    wallMs: sentAt.wallMs - ageMs,
-  });
+  activeConfig.recordRead(subtractAge(sentAt, readAgeMs));
+  if (ageMs !== undefined) activeConfig.confirm(subtractAge(sentAt, ageMs));
   return true;
 }
 
@@ -96,30 +104,38 @@
     health,
     signal,
   }: ConfigSyncDependencies,
-  { asOf, isNewest: wasNewest }: WatchPosition,
+  { asOf, isNewest: wasNewest, isWritten: wasWritten }: WatchPosition,
 ): Promise<WatchPosition> {
   const sentAt = readClocks();
+  const { era, eraAgeMs } = store;
   health.recordCall(asOf === undefined ? 0 : WATCH_WAIT_MS);
   const result = await readNext(store, asOf);
   if (!result.ok) {
     health.recordFailure(result.error);
     readerProvider.recordOwnFailure();
     await sleep(computeStoreBackoffMs(health.failures), signal);
-    return { asOf: undefined, isNewest: wasNewest };
+    return { asOf: undefined, isNewest: wasNewest, isWritten: false };
   }
   health.recordSuccess();
+  activeConfig.recordRead(sentAt);
   const { value } = result;
   if (value.type === "history_lost") {
-    return { asOf: undefined, isNewest: wasNewest };
+    return { asOf: undefined, isNewest: wasNewest, isWritten: false };
   }
   const isNewest =
     value.type === "changed"
       ? activeConfig.applyIfNewer(value.value, "store") ||
         activeConfig.text === value.value
       : wasNewest;
-  if (isNewest) activeConfig.confirm(sentAt);
+  // A watch tells only of writes within its era.
+  const isWritten =
+    wasWritten || (asOf !== undefined && value.type === "changed");
+  const hadTimeToWrite =
+    store.eraAgeMs === Number.POSITIVE_INFINITY ||
+    (value.asOf.era === era && eraAgeMs >= REWRITE_MS);
+  if (isNewest && (isWritten || hadTimeToWrite)) activeConfig.confirm(sentAt);
   if (activeConfig.version === 0) await sleep(computeStoreBackoffMs(0), signal);
-  return { asOf: value.asOf, isNewest };
+  return { asOf: value.asOf, isNewest, isWritten };
 }
 
 async function readNext(store: MetadataStore, asOf: StorePosition | undefined) {
@@ -136,3 +152,7 @@
       : ({ type: "changed", value: text, asOf: readAsOf } as const);
   return { ok: true, value } as const;
 }
+
+function subtractAge(at: ClockReading, ageMs: number): ClockReading {
+  return { monotonicMs: at.monotonicMs - ageMs, wallMs: at.wallMs - ageMs };
+}
