Confirm nothing while the store holds no configuration

Callers would be let in with a key that an acknowledged version took away, when a store comes back from a copy without op/config: an instance that had missed that version went on to confirm its own.

Cause: an answer 404 counted as an unchanged document, and the knowledge that the active one was the newest outlived failed reads and lost history.

Change: the position of the watch holds the store's document instead of that knowledge, and begins without one after each failure. Only the same document confirms.

--- a/packages/gateway/src/__tests__/restored_config.test.ts
+++ b/packages/gateway/src/__tests__/restored_config.test.ts
@@ -170,4 +170,24 @@
   assert.ok(newer.confirmedAgeMs < MAX_FRESH_AGE_MS);
 });
 
+test("a store that has lost its configuration confirms none", async () => {
+  await run(COPY_GAP_MS);
+  write(1);
+  const cutOff = start();
+  await run(3 * REWRITE_MS);
+  isReachable = false;
+  write(2);
+  await run(COPY_GAP_MS);
+  store.restore(time.nowMs - COPY_GAP_MS / 2);
+  isReachable = true;
+  const restoredAtMs = time.nowMs;
+  await run(2 * REWRITE_MS);
+  assert.is(cutOff.version, 1);
+  assert.ok(cutOff.confirmedAgeMs > time.nowMs - restoredAtMs);
+  write(2);
+  await run(100);
+  assert.is(cutOff.version, 2);
+  assert.ok(cutOff.confirmedAgeMs < MAX_FRESH_AGE_MS);
+});
+
 test.run();
--- a/packages/gateway/src/views/sync_config.ts
+++ b/packages/gateway/src/views/sync_config.ts
@@ -33,15 +33,15 @@
 /** Position in the watch of the store. */
 interface WatchPosition {
   readonly asOf: StorePosition | undefined;
-  /** False while the store holds another document than the active one. */
-  readonly isNewest: boolean;
+  /** The document that the store holds; undefined if it has none. */
+  readonly text: string | undefined;
   /** True once the operator is known to have written in the store's era. */
   readonly isWritten: boolean;
 }
 
 const INITIAL_POSITION: WatchPosition = {
   asOf: undefined,
-  isNewest: false,
+  text: undefined,
   isWritten: false,
 };
 
@@ -104,7 +104,7 @@
     health,
     signal,
   }: ConfigSyncDependencies,
-  { asOf, isNewest: wasNewest, isWritten: wasWritten }: WatchPosition,
+  { asOf, text: knownText, isWritten: wasWritten }: WatchPosition,
 ): Promise<WatchPosition> {
   const sentAt = readClocks();
   const { era, eraAgeMs } = store;
@@ -114,28 +114,26 @@
     health.recordFailure(result.error);
     readerProvider.recordOwnFailure();
     await sleep(computeStoreBackoffMs(health.failures), signal);
-    return { asOf: undefined, isNewest: wasNewest, isWritten: false };
+    return INITIAL_POSITION;
   }
   health.recordSuccess();
   activeConfig.recordRead(sentAt);
   const { value } = result;
   if (value.type === "history_lost") {
-    return { asOf: undefined, isNewest: wasNewest, isWritten: false };
+    return INITIAL_POSITION;
   }
-  const isNewest =
-    value.type === "changed"
-      ? activeConfig.applyIfNewer(value.value, "store") ||
-        activeConfig.text === value.value
-      : wasNewest;
+  const isChanged = value.type === "changed";
+  const text = isChanged ? value.value : knownText;
+  if (isChanged) activeConfig.applyIfNewer(value.value, "store");
+  const isNewest = text !== undefined && text === activeConfig.text;
   // A watch tells only of writes within its era.
-  const isWritten =
-    wasWritten || (asOf !== undefined && value.type === "changed");
+  const isWritten = wasWritten || (asOf !== undefined && isChanged);
   const hadTimeToWrite =
     store.eraAgeMs === Number.POSITIVE_INFINITY ||
     (value.asOf.era === era && eraAgeMs >= REWRITE_MS);
   if (isNewest && (isWritten || hadTimeToWrite)) activeConfig.confirm(sentAt);
   if (activeConfig.version === 0) await sleep(computeStoreBackoffMs(0), signal);
-  return { asOf: value.asOf, isNewest, isWritten };
+  return { asOf: value.asOf, text, isWritten };
 }
 
 async function readNext(store: MetadataStore, asOf: StorePosition | undefined) {
