Let an instance read the store at once when an outage is over

Callers would see runners and configuration up to 3 s late after an outage of 0.2 s: runners that leave are used, and live ones that were listed again are not.

Cause: an instance that finds its reader without a view reads the store itself once, fails in the outage, and does not choose itself for 3 s. All instances do, so that they ask one another in turn, 0.35 s each, and none of them reads.

Ruled out: forgetting an own failure as soon as a peer fails, too. A reader with a broken link would then be chosen again before its peers have been asked (store_reader_selector.test.ts).

Change: an own failure counts only while this instance is the one to read.

Measured: the new test failed before with 0 readers.

--- a/packages/gateway/src/__tests__/store_reader_selector.test.ts
+++ b/packages/gateway/src/__tests__/store_reader_selector.test.ts
@@ -73,4 +73,16 @@
   assert.is(reader.pick(), undefined);
 });
 
+test("after an outage that all have noticed, some instance reads at once", () => {
+  const fleet = FLEET.slice(0, 10);
+  const selectors = createSelectors(fleet);
+  for (const selector of selectors) selector.recordOwnFailure();
+  // Each finds that the peer it asks has no current view either.
+  for (const selector of selectors) {
+    const peer = selector.pick();
+    if (peer !== undefined) selector.recordFailure(peer);
+  }
+  assert.is(countReaders(selectors), 1);
+});
+
 test.run();
--- a/packages/gateway/src/decisions/store_reader_selector.ts
+++ b/packages/gateway/src/decisions/store_reader_selector.ts
@@ -55,9 +55,13 @@
     this.#failedAtMs.set(instanceId, monotonicMs());
   }
 
-  /** This instance can't read the store; a peer may be able to. */
+  /**
+   * This instance can't read the store; a peer may be able to. It counts of a
+   * reader only: after an outage that all have noticed, all would ask each other
+   * and none would read.
+   */
   recordOwnFailure(): void {
-    this.recordFailure(this.#own);
+    if (this.pick() === undefined) this.recordFailure(this.#own);
   }
 
   #hasFailed(instanceId: string): boolean {
