Let the store's last text under a version count on all instances

Callers with a key would be refused for ever by an instance that holds another text under the version than the store, and instances would differ in routes.

Cause: a document under the version in force was ignored, whoever sent it, so that the store's never equalled the active one and nothing was confirmed. Followers and gossip compared versions only, and confirmed a text by another one's proof.

Ruled out: ordering texts by content. It agrees, too, but on a text that the operator may have replaced.

Views and WatchConfig tell the document's hash (new fields); a follower whose reader tells another one reads the store. From a peer, a text is taken that it had confirmed later. A reader that tells no hash is compared by version as before. configuration_in_force tells the hash.

--- a/packages/gateway/src/__tests__/restored_config.test.ts
+++ b/packages/gateway/src/__tests__/restored_config.test.ts
@@ -1,8 +1,9 @@
 import { suite } from "uvu";
 import * as assert from "uvu/assert";
 import { Logger } from "@jujubeladder/logger";
-import { readClocks, sha256Hex } from "@jujubeladder/utils";
+import { readClocks, sha256Hex, sleep } from "@jujubeladder/utils";
 import type { GatewayCodec } from "../model/gateway_codec.js";
+import type { StoreReader } from "../model/store_reader.js";
 import { ActiveConfig } from "../views/active_config.js";
 import { StoreReadHealth } from "../views/store_read_health.js";
 import { syncConfig } from "../views/sync_config.js";
@@ -50,14 +51,14 @@
   store.putConfig(document(version, note));
 }
 
-/** Starts an instance that reads the store and has no peers. */
-function start(): ActiveConfig {
+/** Starts an instance that reads the store, or follows a reader. */
+function start(reader?: StoreReader): ActiveConfig {
   const activeConfig = new ActiveConfig(CODEC, LOGGER);
   void syncConfig({
     store: store.connect(() => isReachable),
     activeConfig,
     readerProvider: {
-      find: () => undefined,
+      find: () => reader,
       recordOwnFailure: () => undefined,
       recordFailure: () => undefined,
     },
@@ -190,4 +191,95 @@
   assert.ok(cutOff.confirmedAgeMs < MAX_FRESH_AGE_MS);
 });
 
+test("what the store writes later under a version replaces the earlier text", async () => {
+  write(1, "first");
+  const instance = start();
+  await run(2 * REWRITE_MS);
+  write(1, "second");
+  await run(100);
+  assert.is(instance.text, document(1, "second"));
+  assert.ok(instance.confirmedAgeMs < MAX_FRESH_AGE_MS);
+});
+
+test("an older text under the version doesn't come back within the gap", async () => {
+  write(1, "first");
+  await run(COPY_GAP_MS);
+  write(1, "second");
+  const instance = start();
+  await run(3 * REWRITE_MS);
+  store.restore(3.5 * REWRITE_MS);
+  await run(REWRITE_MS - 200);
+  assert.is(instance.text, document(1, "second"));
+  write(1, "second");
+  await run(2 * REWRITE_MS);
+  assert.is(instance.text, document(1, "second"));
+  assert.ok(instance.confirmedAgeMs < MAX_FRESH_AGE_MS);
+});
+
+test("the text that the store keeps under the version counts after the gap", async () => {
+  write(1, "first");
+  await run(COPY_GAP_MS);
+  write(1, "second");
+  const instance = start();
+  await run(3 * REWRITE_MS);
+  store.restore(3.5 * REWRITE_MS);
+  await run(2 * REWRITE_MS);
+  assert.is(instance.text, document(1, "first"));
+  assert.ok(instance.confirmedAgeMs < MAX_FRESH_AGE_MS);
+});
+
+test("a peer's text under the version counts if it was confirmed later", async () => {
+  write(1, "own");
+  const instance = start();
+  await run(2 * REWRITE_MS);
+  const early = readClocks();
+  await run(REWRITE_MS);
+  isReachable = false;
+  const offer = (note: string, at: ReturnType<typeof readClocks>) => {
+    instance.confirmDocument(sha256Hex(document(1, note)), at);
+    instance.applyIfNewer(document(1, note), "peer");
+  };
+  offer("earlier", early);
+  assert.is(instance.text, document(1, "own"));
+  instance.applyIfNewer(document(1, "unconfirmed"), "peer");
+  assert.is(instance.text, document(1, "own"));
+  await run(MAX_FRESH_AGE_MS);
+  offer("later", readClocks());
+  assert.is(instance.text, document(1, "later"));
+});
+
+test("a follower reads the store if its reader has another text", async () => {
+  write(1, "first");
+  const hash = sha256Hex(document(1, "second"));
+  const follower = start({
+    instanceId: "reader",
+    watchConfig: async () => {
+      await sleep(350);
+      return { ok: true, value: { version: 1, hash, ageMs: 0, readAgeMs: 0 } };
+    },
+    watchRunners: async () => Promise.reject(new Error("not called")),
+  });
+  await run(REWRITE_MS);
+  assert.is(follower.text, document(1, "first"));
+  assert.is(follower.confirmedAgeMs, Infinity);
+  write(1, "second");
+  await run(2 * MAX_FRESH_AGE_MS);
+  assert.is(follower.text, document(1, "second"));
+  assert.ok(follower.confirmedAgeMs < MAX_FRESH_AGE_MS);
+});
+
+test("a reader that tells no hash is compared by its version", async () => {
+  write(1);
+  const follower = start({
+    instanceId: "reader",
+    watchConfig: async () => {
+      await sleep(350);
+      return { ok: true, value: { version: 1, ageMs: 20, readAgeMs: 20 } };
+    },
+    watchRunners: async () => Promise.reject(new Error("not called")),
+  });
+  await run(REWRITE_MS / 2);
+  assert.ok(follower.confirmedAgeMs < MAX_FRESH_AGE_MS);
+});
+
 test.run();
--- a/packages/gateway/src/mesh/create_view_handlers.ts
+++ b/packages/gateway/src/mesh/create_view_handlers.ts
@@ -34,6 +34,7 @@
       const isRead = configHealth.isHealthy && Number.isFinite(readAgeMs);
       return {
         version: BigInt(activeConfig.version),
+        documentHash: activeConfig.hash,
         ...(isConfirmed ? { ageMs: Math.ceil(Math.max(0, ageMs)) } : {}),
         ...(isRead ? { readAgeMs: Math.ceil(Math.max(0, readAgeMs)) } : {}),
       };
--- a/packages/gateway/src/mesh/peer_store_reader.ts
+++ b/packages/gateway/src/mesh/peer_store_reader.ts
@@ -64,6 +64,7 @@
     if (view && Number(view.configVersion) >= version) {
       return checkConfigAge({
         version: Number(view.configVersion),
+        hash: view.configHash,
         ageMs: view.configAgeMs,
         readAgeMs: view.configReadAgeMs,
       });
@@ -75,9 +76,10 @@
           { signal },
         ),
       );
-      const { ageMs, readAgeMs } = response;
+      const { ageMs, readAgeMs, documentHash } = response;
       return checkConfigAge({
         version: Number(response.version),
+        hash: documentHash,
         ageMs,
         readAgeMs,
       });
@@ -176,14 +178,16 @@
 // A confirmation from before a restore is old, the reads since then are not.
 function checkConfigAge(view: {
   readonly version: number;
+  readonly hash: string;
   readonly ageMs: number | undefined;
   readonly readAgeMs: number | undefined;
 }): Awaited<ReturnType<StoreReader["watchConfig"]>> {
   const { version, ageMs } = view;
+  const hash = view.hash ? { hash: view.hash } : {};
   const readAgeMs = view.readAgeMs ?? ageMs;
   return readAgeMs === undefined || readAgeMs > MAX_VIEW_AGE_MS
     ? staleView(readAgeMs)
-    : { ok: true, value: { version, ageMs, readAgeMs } };
+    : { ok: true, value: { version, ...hash, ageMs, readAgeMs } };
 }
 
 function staleView(ageMs: number | undefined): Result<never, string> {
--- a/packages/gateway/src/mesh/read_view_state.ts
+++ b/packages/gateway/src/mesh/read_view_state.ts
@@ -21,6 +21,7 @@
   const runnersAgeMs = toAge(runnersHealth, watchCache.ageMs);
   return create(ViewStateSchema, {
     configVersion: BigInt(activeConfig.version),
+    configHash: activeConfig.hash,
     ...(configAgeMs === undefined ? {} : { configAgeMs }),
     ...(configReadAgeMs === undefined ? {} : { configReadAgeMs }),
     runnersAsOf: BigInt(watchCache.asOf.revision),
--- a/packages/gateway/src/model/store_reader.ts
+++ b/packages/gateway/src/model/store_reader.ts
@@ -15,6 +15,8 @@
     Result<
       {
         readonly version: number;
+        /** The document's hash; undefined if the peer does not tell it. */
+        readonly hash?: string | undefined;
         /**
          * Time since the store confirmed that this version is the latest;
          * undefined if that is not known, as after a restore.
--- a/packages/gateway/src/views/active_config.ts
+++ b/packages/gateway/src/views/active_config.ts
@@ -112,20 +112,50 @@
     return this.#active?.servicesById.get(serviceId);
   }
 
-  /** Activates a valid document if its version is newer; true if it did. */
+  /**
+   * Activates a valid document if its version is newer, or if a peer's
+   * confirmation shows that it was written later under the same version; true if
+   * it did.
+   */
   applyIfNewer(text: string, source: ConfigSource): boolean {
-    if (text === this.#active?.text) return false;
-    const decoded = this.#codec.decodeConfig(text);
-    if (!decoded.ok) {
-      this.#logger.warn("configuration_refused", {
-        source,
-        reason: decoded.error,
-        version_in_force: this.version,
-      });
+    const config = this.#decodeOther(text, source);
+    if (!config || config.version < this.version) return false;
+    if (config.version === this.version && !this.#isConfirmedLater(text)) {
       return false;
     }
-    const config = decoded.value;
-    if (config.version <= this.version) return false;
+    this.#activate(config, text, source);
+    return true;
+  }
+
+  /**
+   * Activates a valid document that the store holds now, unless its version is
+   * older. Under one version the store's last write counts.
+   */
+  applyStored(text: string): void {
+    const config = this.#decodeOther(text, "store");
+    if (!config || config.version < this.version) return;
+    this.#activate(config, text, "store");
+  }
+
+  #decodeOther(text: string, source: ConfigSource): GatewayConfig | undefined {
+    if (text === this.#active?.text) return undefined;
+    const decoded = this.#codec.decodeConfig(text);
+    if (decoded.ok) return decoded.value;
+    this.#logger.warn("configuration_refused", {
+      source,
+      reason: decoded.error,
+      version_in_force: this.version,
+    });
+    return undefined;
+  }
+
+  #isConfirmedLater(text: string): boolean {
+    const { hash, at } = this.#otherConfirmed ?? {};
+    if (!at || hash !== sha256Hex(text)) return false;
+    return maxElapsedMs(at) < this.confirmedAgeMs;
+  }
+
+  #activate(config: GatewayConfig, text: string, source: ConfigSource): void {
     this.#activeSinceMs ??= monotonicMs();
     this.#active = {
       config,
@@ -142,12 +172,12 @@
     this.#logger.info("configuration_in_force", {
       source,
       version: config.version,
+      hash: this.#active.hash,
       routes: config.routes.length,
       teams: config.teams.length,
     });
     this.#changed.notify();
     void this.events.emit("changed", config);
-    return true;
   }
 
   /**
--- a/packages/gateway/src/views/sync_config.ts
+++ b/packages/gateway/src/views/sync_config.ts
@@ -37,12 +37,15 @@
   readonly text: string | undefined;
   /** True once the operator is known to have written in the store's era. */
   readonly isWritten: boolean;
+  /** True if the document is known to be what the operator wrote last. */
+  readonly isLast: boolean;
 }
 
 const INITIAL_POSITION: WatchPosition = {
   asOf: undefined,
   text: undefined,
   isWritten: false,
+  isLast: false,
 };
 
 /**
@@ -68,8 +71,8 @@
   }
 }
 
-// Returns false if the store must be read: the peer has a newer version, or
-// cannot confirm the active one.
+// Returns false if the store must be read: the peer has a newer version or
+// another text, or cannot confirm the active one.
 async function confirmByReader(
   { readerProvider, health, activeConfig }: ConfigSyncDependencies,
   reader: StoreReader,
@@ -81,7 +84,7 @@
     readerProvider.recordFailure(reader, result.error);
     return false;
   }
-  const { version: peerVersion, ageMs, readAgeMs } = result.value;
+  const { version: peerVersion, hash, ageMs, readAgeMs } = result.value;
   if (peerVersion < activeConfig.version) {
     readerProvider.recordFailure(
       reader,
@@ -91,6 +94,7 @@
   }
   health.recordSuccess();
   if (peerVersion > activeConfig.version) return false;
+  if (hash !== undefined && hash !== activeConfig.hash) return false;
   activeConfig.recordRead(subtractAge(sentAt, readAgeMs));
   if (ageMs !== undefined) activeConfig.confirm(subtractAge(sentAt, ageMs));
   return true;
@@ -104,9 +108,10 @@
     health,
     signal,
   }: ConfigSyncDependencies,
-  { asOf, text: knownText, isWritten: wasWritten }: WatchPosition,
+  known: WatchPosition,
 ): Promise<WatchPosition> {
   const sentAt = readClocks();
+  const { asOf } = known;
   const { era, eraAgeMs } = store;
   health.recordCall(asOf === undefined ? 0 : WATCH_WAIT_MS);
   const result = await readNext(store, asOf);
@@ -123,17 +128,19 @@
     return INITIAL_POSITION;
   }
   const isChanged = value.type === "changed";
-  const text = isChanged ? value.value : knownText;
-  if (isChanged) activeConfig.applyIfNewer(value.value, "store");
-  const isNewest = text !== undefined && text === activeConfig.text;
+  const text = isChanged ? value.value : known.text;
   // A watch tells only of writes within its era.
-  const isWritten = wasWritten || (asOf !== undefined && isChanged);
+  const isWritten = known.isWritten || (asOf !== undefined && isChanged);
   const hadTimeToWrite =
     store.eraAgeMs === Number.POSITIVE_INFINITY ||
     (value.asOf.era === era && eraAgeMs >= REWRITE_MS);
-  if (isNewest && (isWritten || hadTimeToWrite)) activeConfig.confirm(sentAt);
+  const isLast = isWritten || hadTimeToWrite;
+  if (text !== undefined && isLast && (isChanged || !known.isLast)) {
+    activeConfig.applyStored(text);
+  } else if (isChanged) activeConfig.applyIfNewer(value.value, "store");
+  if (isLast && text === activeConfig.text) activeConfig.confirm(sentAt);
   if (activeConfig.version === 0) await sleep(computeStoreBackoffMs(0), signal);
-  return { asOf: value.asOf, text, isWritten };
+  return { asOf: value.asOf, text, isWritten, isLast };
 }
 
 async function readNext(store: MetadataStore, asOf: StorePosition | undefined) {
