--- a/packages/gateway/src/server/gateway_instance.ts
+++ b/packages/gateway/src/server/gateway_instance.ts
@@ -245,6 +245,7 @@
     return (
       this.#plannedStop.exitAtMs === undefined &&
       this.#activeConfig.version > 0 &&
+      this.#activeConfig.isSettled &&
       this.#directory.size > 0 &&
       this.#activeConfig.confirmedAgeMs <= maxAgeMs
     );
