Count the grace from when the stop signal can have been sent

What callers would see: a request that a stopping instance took and passed on gets no answer, since the platform kills the process while the request runs.

Cause: the time of the exit was reckoned from the moment at which SIGTERM was handled. A process that is held up then, by its machine or by its own work, handles it late, and the platform's clock runs on. With more than the 400 ms of the margin, the exit that requests are measured against lies behind the kill.

Ruled out: the admission check. It held to its exit: in the trace of the test, exit_in_ms=3492, deadline_in_ms=2997, and SIGKILL came after 2,700 ms. Further signals, SIGHUP too, move neither the exit nor what is admitted; the test of it passed before.

Change: a meter ticks every 50 ms. A signal that is handled now was sent after the tick before the last, as signals are handled between any two. The exit is the earlier one of the usual time and of 250 ms before the end of a grace that began then. Without a hold-up of 150 ms or more the exit is where it was. A hold-up that ended just before the signal costs some of the grace; nothing tells the two apart. 'stopping' now says how long the signal has waited at most.

Measured: 'held up for 1200 ms at SIGTERM' failed before (no answer, killed) and passes; 300 ms passed before, within the margin.

--- a/packages/gateway/src/server/gateway_instance.ts
+++ b/packages/gateway/src/server/gateway_instance.ts
@@ -44,6 +44,7 @@
 import { CallerServer } from "./caller_server.js";
 import type { GatewaySettings } from "./gateway_settings.js";
 import { PlannedStop } from "./planned_stop.js";
+import { SignalWaitMeter } from "./signal_wait_meter.js";
 import { serveText } from "./serve_text.js";
 
 /** Fleet size assumed until gossip has reported a larger one. */
@@ -81,6 +82,7 @@
   readonly #droppedLogLines: () => number;
   readonly #stopping = new AbortController();
   readonly #plannedStop: PlannedStop;
+  readonly #signalWaits = new SignalWaitMeter();
   readonly #servers: (Server | Http2Server)[] = [];
 
   constructor(
@@ -249,6 +251,7 @@
       readerProvider: this.#readerProvider,
       signal,
     };
+    this.#signalWaits.start();
     void syncConfig({
       ...syncDependencies,
       activeConfig: this.#activeConfig,
@@ -326,9 +329,12 @@
    * first one.
    */
   async stop(): Promise<void> {
-    await this.#plannedStop.drain(this.#callerServer, () => {
-      this.#relay.dismissWaiting();
-      void this.#membership.leave();
+    await this.#plannedStop.drain(this.#callerServer, {
+      earliestSignalAtMs: this.#signalWaits.earliestSentAtMs,
+      onStart: () => {
+        this.#relay.dismissWaiting();
+        void this.#membership.leave();
+      },
     });
     this.close();
   }
@@ -336,6 +342,7 @@
   /** Closes at once and aborts requests in progress. */
   close(): void {
     this.#stopping.abort();
+    this.#signalWaits.stop();
     this.#callerServer.close();
     this.#pool.closeAll();
     this.#peers.close();
--- a/packages/gateway/src/server/planned_stop.ts
+++ b/packages/gateway/src/server/planned_stop.ts
@@ -10,6 +10,8 @@
 const EXIT_MARGIN_MS = 400;
 /** Within that, time to send the final responses. */
 const FLUSH_MS = 200;
+/** The same margin for a process that was held up when the signal came. */
+const HELD_UP_MARGIN_MS = FLUSH_MS + 50;
 /** The instance exits early only if no request came for this long. */
 const IDLE_MS = 300;
 const POLL_INTERVAL_MS = 25;
@@ -45,18 +47,40 @@
 
   /**
    * Starts the stop and resolves when the instance is to exit. Later calls join
-   * the first one. `onStart` runs once `exitAtMs` is set.
+   * the first one. `onStart` runs once `exitAtMs` is set. The grace may have
+   * begun as early as `earliestSignalAtMs`.
    */
-  async drain(requests: Requests, onStart: () => void): Promise<void> {
-    this.#drained ??= this.#drain(requests, onStart);
+  async drain(
+    requests: Requests,
+    options: {
+      readonly earliestSignalAtMs: number;
+      readonly onStart: () => void;
+    },
+  ): Promise<void> {
+    this.#drained ??= this.#drain(requests, options);
     await this.#drained;
   }
 
-  async #drain(requests: Requests, onStart: () => void): Promise<void> {
+  async #drain(
+    requests: Requests,
+    {
+      earliestSignalAtMs,
+      onStart,
+    }: {
+      readonly earliestSignalAtMs: number;
+      readonly onStart: () => void;
+    },
+  ): Promise<void> {
     const startedAtMs = monotonicMs();
-    const exitAtMs = startedAtMs + this.#graceMs - EXIT_MARGIN_MS;
+    const exitAtMs = Math.min(
+      startedAtMs + this.#graceMs - EXIT_MARGIN_MS,
+      earliestSignalAtMs + this.#graceMs - HELD_UP_MARGIN_MS,
+    );
     this.#exitAtMs = exitAtMs;
-    this.#logger.info("stopping", { active: requests.activeCount });
+    this.#logger.info("stopping", {
+      active: requests.activeCount,
+      signal_waited_at_most_ms: startedAtMs - earliestSignalAtMs,
+    });
     onStart();
     while (monotonicMs() < exitAtMs) {
       const isAccepting = monotonicMs() - startedAtMs < ACCEPTING_MS;
