Answer each request that a leaving instance has read on a connection

What callers would see: of several requests that a caller sends to the daemon on one connection without waiting, all run while the instance leaves, and only the first is answered.

Cause: a leaving instance let every response end its connection, and Node.js drops those behind one that does. Their handlers had begun by then.

Ruled out: the exit, which waits for the requests; the connection had ended before.

Change: requests of a connection take turns here too, and only the response of the latest one ends the connection. A request behind a response that has already said so is not started.

The test of ActiveResponses marks its call as not awaited, since 'add' returns the turn now; what it asks is unchanged.

--- a/packages/jujubeladder/src/__tests__/active_responses.test.ts
+++ b/packages/jujubeladder/src/__tests__/active_responses.test.ts
@@ -12,7 +12,7 @@
   const responses = new ActiveResponses();
   let requestCount = 0;
   const server = createServer((_, response) => {
-    responses.add(response);
+    void responses.add(response);
     requestCount += 1;
     if (requestCount === 2) caller.destroy();
   });
--- a/packages/jujubeladder/src/__tests__/planned_stop.test.ts
+++ b/packages/jujubeladder/src/__tests__/planned_stop.test.ts
@@ -88,6 +88,34 @@
   assert.match(received, /filing-1-1/);
 });
 
+test("a request behind another on its connection is not run and lost by a leaving instance", async () => {
+  await fleet.start();
+  const socket = connect(Number(new URL(fleet.baseUrl).port), "127.0.0.1");
+  await once(socket, "connect");
+  let received = "";
+  socket.on("data", (chunk) => {
+    received += String(chunk);
+  });
+  const closed = once(socket, "close");
+  const send = () => {
+    const body = "delayMs=300";
+    socket.write(
+      `POST ${SUBMISSIONS} HTTP/1.1\r\nhost: x\r\n` +
+        `authorization: Bearer ${fleet.token}\r\n` +
+        `content-length: ${body.length}\r\n\r\n${body}`,
+    );
+  };
+  send();
+  await sleep(100);
+  const stopped = fleet.stop();
+  send();
+  send();
+  await closed;
+  await stopped;
+  assert.is(received.match(/HTTP\/1\.1 200 /g)?.length, 3);
+  assert.is(received.match(/connection: close/gi)?.length, 1);
+});
+
 test("a hangup does not cut requests", async () => {
   const { baseUrl, token } = await startDaemon();
   const answer = submit(baseUrl, token, 600);
--- a/packages/jujubeladder/src/entry/entry_instance.ts
+++ b/packages/jujubeladder/src/entry/entry_instance.ts
@@ -125,8 +125,9 @@
     await this.#waitForInitialState();
     this.#callerServer = await serve(
       (req, res) => {
-        this.#responses.add(res);
-        app(req, res);
+        void this.#responses.add(res).then((canBeSent) => {
+          if (canBeSent) app(req, res);
+        });
       },
       { host, port: callerPort },
     );
