Forget the retry budget of services without requests

Callers saw: nothing; the gauges kept a line for each service that any configuration had named, and its old counts. Cause: entries were never removed, and their times only dropped when the service was used again. Change: a service without requests, repeats and open bookings within the window is forgotten, when the gauges are read or a new service comes up. Ruled out for the line retry_refused: it is written like all others by the bounded writer, once for each refused retry and once for each run that can't move. Measured: 'services that a configuration dropped do not stay in memory and metrics' fails on the commit before and passes with this one.

--- a/packages/gateway/src/__tests__/fleet_retry_budget.test.ts
+++ b/packages/gateway/src/__tests__/fleet_retry_budget.test.ts
@@ -3,6 +3,7 @@
 import * as assert from "uvu/assert";
 import { PeerRoster } from "../mesh/peer_roster.js";
 import { FleetRetryBudget } from "../decisions/fleet_retry_budget.js";
+import { formatRetryBudget } from "../decisions/format_retry_budget.js";
 
 const FIRST_START = { isFirstStart: true };
 const LIMITS = { ratio: 0.2, fleetSlack: 50, windowMs: 10_000 };
@@ -86,4 +87,36 @@
   assert.not(budget.book("s", "retry"));
 });
 
+test("services that a configuration dropped do not stay in memory and metrics", () => {
+  let nowMs = 0;
+  const readClockMs = () => nowMs;
+  const budget = new FleetRetryBudget(LIMITS, () => 10, {
+    isFirstStart: true,
+    readClockMs,
+  });
+  budget.recordRequest("dropped");
+  budget.recordRequest("waiting");
+  const booking = budget.book("waiting", "retry");
+  nowMs += LIMITS.windowMs + 1;
+  budget.recordRequest("used");
+  assert.equal(budget.listServices(), ["waiting", "used"]);
+  booking?.recordSent();
+  assert.is(budget.getUse("waiting").spent, 1);
+  nowMs += LIMITS.windowMs + 1;
+  assert.equal(formatRetryBudget(budget), []);
+});
+
+test("a service's share outlasts a quiet window", () => {
+  let nowMs = 0;
+  const readClockMs = () => nowMs;
+  const budget = new FleetRetryBudget(LIMITS, () => 50, {
+    isFirstStart: true,
+    readClockMs,
+  });
+  assert.ok(budget.book("s", "retry"));
+  nowMs += LIMITS.windowMs + 1;
+  assert.equal(budget.listServices(), ["s"]);
+  assert.not(budget.book("s", "retry"), "the first one is still to be sent");
+});
+
 test.run();
--- a/packages/gateway/src/decisions/fleet_retry_budget.ts
+++ b/packages/gateway/src/decisions/fleet_retry_budget.ts
@@ -104,8 +104,9 @@
     };
   }
 
-  /** The services that requests were recorded for. */
+  /** The services with requests or repeats within the window. */
   listServices(): readonly string[] {
+    this.#forgetIdle();
     return [...this.#byService.keys()];
   }
 
@@ -117,7 +118,14 @@
   }
 
   #attemptsOf(serviceId: string): Attempts {
-    const attempts = this.#byService.get(serviceId) ?? {
+    const known = this.#byService.get(serviceId);
+    if (known) {
+      this.#dropOld(known);
+      return known;
+    }
+    // Configurations drop services and add others.
+    this.#forgetIdle();
+    const attempts = {
       requestsAtMs: [],
       byKind: {
         retry: { sentAtMs: [], bookedCount: 0 },
@@ -125,12 +133,23 @@
       },
     };
     this.#byService.set(serviceId, attempts);
-    const { requestsAtMs, byKind } = attempts;
+    return attempts;
+  }
+
+  #forgetIdle(): void {
+    for (const [serviceId, attempts] of this.#byService) {
+      this.#dropOld(attempts);
+      const { requestsAtMs, byKind } = attempts;
+      const spent = countSpent(byKind.retry) + countSpent(byKind.resumption);
+      if (requestsAtMs.length + spent === 0) this.#byService.delete(serviceId);
+    }
+  }
+
+  #dropOld({ requestsAtMs, byKind }: Attempts): void {
     const sinceMs = this.#readClockMs() - this.#limits.windowMs;
     dropBefore(requestsAtMs, sinceMs);
     dropBefore(byKind.retry.sentAtMs, sinceMs);
     dropBefore(byKind.resumption.sentAtMs, sinceMs);
-    return attempts;
   }
 }
 
