Log that the store holds an older configuration than this instance

On-call could not tell from the lines why keys are refused while the store is in reach: after a restore that the operator has not noticed, nothing is confirmed.

Change: store_configuration_older tells both versions, once per document read.

--- a/packages/gateway/src/__tests__/restored_config.test.ts
+++ b/packages/gateway/src/__tests__/restored_config.test.ts
@@ -1,6 +1,6 @@
 import { suite } from "uvu";
 import * as assert from "uvu/assert";
-import { Logger } from "@jujubeladder/logger";
+import type { Logger } from "@jujubeladder/logger";
 import { readClocks, sha256Hex, sleep } from "@jujubeladder/utils";
 import type { GatewayCodec } from "../model/gateway_codec.js";
 import type { StoreReader } from "../model/store_reader.js";
@@ -10,7 +10,11 @@
 import { ModelStore } from "./restore_model/model_store.js";
 import { VirtualTime } from "./restore_model/virtual_time.js";
 
-const LOGGER = new Logger({});
+let warnings: string[];
+const LOGGER = {
+  info: () => undefined,
+  warn: (event: string) => warnings.push(event),
+} as unknown as Logger;
 /** The operator writes again within this time after a restore. */
 const REWRITE_MS = 2_000;
 /** A watch of 0.7 s confirms as of its sending, until the next one ends. */
@@ -32,6 +36,7 @@
 let isReachable: boolean;
 
 test.before.each(() => {
+  warnings = [];
   time = new VirtualTime();
   time.install();
   store = new ModelStore(() => 0.5);
@@ -166,6 +171,7 @@
   await run(3 * REWRITE_MS);
   assert.is(newer.version, 2);
   assert.ok(newer.confirmedAgeMs > 3 * REWRITE_MS);
+  assert.ok(warnings.includes("store_configuration_older"));
   write(2);
   await run(100);
   assert.ok(newer.confirmedAgeMs < MAX_FRESH_AGE_MS);
--- a/packages/gateway/src/views/active_config.ts
+++ b/packages/gateway/src/views/active_config.ts
@@ -119,7 +119,7 @@
    */
   applyIfNewer(text: string, source: ConfigSource): boolean {
     const config = this.#decodeOther(text, source);
-    if (!config || config.version < this.version) return false;
+    if (!config || this.#isOlder(config, source)) return false;
     if (config.version === this.version && !this.#isConfirmedLater(text)) {
       return false;
     }
@@ -133,7 +133,7 @@
    */
   applyStored(text: string): void {
     const config = this.#decodeOther(text, "store");
-    if (!config || config.version < this.version) return;
+    if (!config || this.#isOlder(config, "store")) return;
     this.#activate(config, text, "store");
   }
 
@@ -149,6 +149,17 @@
     return undefined;
   }
 
+  #isOlder({ version }: GatewayConfig, source: ConfigSource): boolean {
+    if (version >= this.version) return false;
+    if (source === "store") {
+      this.#logger.warn("store_configuration_older", {
+        version,
+        version_in_force: this.version,
+      });
+    }
+    return true;
+  }
+
   #isConfirmedLater(text: string): boolean {
     const { hash, at } = this.#otherConfirmed ?? {};
     if (!at || hash !== sha256Hex(text)) return false;
