Count a listing from when it can be read in the model

Change: the 2 s of a runner that was not listed for as long before an outage begin with the store's return. One that was must stay in use throughout, as before.

--- a/packages/gateway/src/__tests__/restore_model/restore_checks.ts
+++ b/packages/gateway/src/__tests__/restore_model/restore_checks.ts
@@ -87,6 +87,11 @@
         : [this.#unlistedSinceMs, this.#listedSinceMs];
       other.delete(runnerId);
       if (!since.has(runnerId)) since.set(runnerId, nowMs);
+      // Nobody could read what was written just before an outage.
+      const listedAtMs = this.#listedSinceMs.get(runnerId) ?? 0;
+      if (isAway && isListed && nowMs - listedAtMs < RETURN_MS) {
+        this.#listedSinceMs.set(runnerId, nowMs);
+      }
     }
   }
 
