Read the configuration as soon as the operator has had time to write it again

What callers would see: keys refused and instances unready for up to half a second after a restore of the store that lost nothing. Cause: a read confirms if it is sent 2 s after the era was heard of, but a watch sent just before that held on for its whole 0.7 s, and so did the next. Change: a watch in that time ends with it, and the first one after it does not wait.

--- a/packages/gateway/src/views/sync_config.ts
+++ b/packages/gateway/src/views/sync_config.ts
@@ -10,10 +10,12 @@
 
 /**
  * Each response also confirms the version, so the wait limits the age of the
- * confirmation. Also if a peer reads the store, it stays below the age at which
- * API keys are rejected.
+ * confirmation. But just after a restore, it stays below the age at which API
+ * keys are rejected, also if a peer reads the store.
  */
 const WATCH_WAIT_MS = 700;
+/** Wait of the first watch after the time in which the operator writes again. */
+const FIRST_WATCH_WAIT_MS = 1;
 /** Detects connections that have stopped responding. */
 const CALL_TIMEOUT_MS = 1_200;
 /**
@@ -39,6 +41,8 @@
   readonly isWritten: boolean;
   /** True if the document is known to be what the operator wrote last. */
   readonly isLast: boolean;
+  /** True if it was read while the operator may not have written again. */
+  readonly isInGap: boolean;
 }
 
 const INITIAL_POSITION: WatchPosition = {
@@ -46,6 +50,7 @@
   text: undefined,
   isWritten: false,
   isLast: false,
+  isInGap: false,
 };
 
 /**
@@ -113,8 +118,9 @@
   const sentAt = readClocks();
   const { asOf } = known;
   const { era, eraAgeMs } = store;
-  health.recordCall(asOf === undefined ? 0 : WATCH_WAIT_MS);
-  const result = await readNext(store, asOf);
+  const waitMs = chooseWaitMs(known, eraAgeMs);
+  health.recordCall(asOf === undefined ? 0 : waitMs);
+  const result = await readNext(store, asOf, waitMs);
   if (!result.ok) {
     health.recordFailure(result.error);
     readerProvider.recordOwnFailure();
@@ -140,13 +146,25 @@
   } else if (isChanged) activeConfig.applyIfNewer(value.value, "store");
   if (isLast && text === activeConfig.text) activeConfig.confirm(sentAt);
   if (activeConfig.version === 0) await sleep(computeStoreBackoffMs(0), signal);
-  return { asOf: value.asOf, text, isWritten, isLast };
+  const isInGap = eraAgeMs < REWRITE_MS;
+  return { asOf: value.asOf, text, isWritten, isLast, isInGap };
 }
 
-async function readNext(store: MetadataStore, asOf: StorePosition | undefined) {
+// A watch ends with the gap, and the first one after it confirms at once.
+function chooseWaitMs({ isInGap }: WatchPosition, eraAgeMs: number): number {
+  const leftMs = REWRITE_MS - eraAgeMs;
+  if (leftMs > 0) return Math.min(WATCH_WAIT_MS, Math.ceil(leftMs));
+  return isInGap ? FIRST_WATCH_WAIT_MS : WATCH_WAIT_MS;
+}
+
+async function readNext(
+  store: MetadataStore,
+  asOf: StorePosition | undefined,
+  waitMs: number,
+) {
   if (asOf !== undefined) {
-    const timeoutMs = WATCH_WAIT_MS + CALL_TIMEOUT_MS;
-    return await store.watchConfig({ asOf, waitMs: WATCH_WAIT_MS, timeoutMs });
+    const timeoutMs = waitMs + CALL_TIMEOUT_MS;
+    return await store.watchConfig({ asOf, waitMs, timeoutMs });
   }
   const read = await store.readConfig({ timeoutMs: CALL_TIMEOUT_MS });
   if (!read.ok) return read;
