Give up a silent attempt only with the budget for the one that follows

What callers saw in the tests: 502 instead of an answer that was on its way. Cause: a silent attempt was given up if another could follow, the retry budget apart, which then refused it; more often so since an instance that restarted has no slack for a window. Ruled out: asking the budget without booking, which another request may use up. Change: the retry is booked at that moment and the booking handed on.

--- a/packages/gateway/src/relay/relay_progress.ts
+++ b/packages/gateway/src/relay/relay_progress.ts
@@ -30,6 +30,8 @@
   abandonedRun: AbandonedRun | undefined;
   /** Budget of the attempt that comes next, unless it is the first. */
   booking: RetryBooking | undefined;
+  /** Budget of the retry for which a silent attempt was given up. */
+  nextBooking: RetryBooking | undefined;
   /** Where a migrated run resumes; takes precedence over placement. */
   continueAt:
     | {
--- a/packages/gateway/src/relay/request_relay.ts
+++ b/packages/gateway/src/relay/request_relay.ts
@@ -125,10 +125,11 @@
       lastConnection: undefined,
       abandonedRun: undefined,
       booking: undefined,
+      nextBooking: undefined,
       continueAt: undefined,
     };
     const outcome = await this.#runAttempts(context, session, progress);
-    this.#abandonResumption(progress);
+    this.#releaseUnused(progress);
     const hasSucceeded =
       outcome.type === "delivered" && outcome.statusCode < 500;
     for (const runnerId of progress.failures.listBlamed(hasSucceeded))
@@ -175,8 +176,9 @@
     }
   }
 
-  // The caller may leave, or time may run out, before a stopped run resumes.
-  #abandonResumption({ continueAt }: RelayProgress): void {
+  // The caller may leave, or time may run out, before the next attempt.
+  #releaseUnused({ continueAt, nextBooking }: RelayProgress): void {
+    nextBooking?.release();
     if (!continueAt) return;
     continueAt.booking?.release();
     void this.#dependencies.migrator.dropCopy(continueAt.cacheRef);
@@ -214,7 +216,8 @@
       return undefined;
     const isRetry = progress.sendCount > 0;
     if (isRetry) {
-      progress.booking = retries.book(context, "retry");
+      progress.booking = progress.nextBooking ?? retries.book(context, "retry");
+      progress.nextBooking = undefined;
       if (!progress.booking) {
         progress.lastReason += NO_RETRIES;
         return undefined;
@@ -257,6 +260,15 @@
     return undefined;
   }
 
+  // A silent attempt may still be answered, so that it is only given up if a
+  // retry can follow.
+  #mayAbandon(context: RequestContext, progress: RelayProgress): boolean {
+    if (this.#findObstacle(context)) return false;
+    if (progress.sendCount >= MAX_SENDS) return false;
+    progress.nextBooking = this.#dependencies.retries.book(context, "retry");
+    return progress.nextBooking !== undefined;
+  }
+
   async #attempt(
     context: RequestContext,
     session: StreamSession | undefined,
@@ -335,7 +347,7 @@
         signal: context.response.cancelSignal,
         remainingMs: leftMs,
         firstByteTimeoutMs: this.#firstByteTimeoutMs(context, progress),
-        mayAbandon: () => this.#findObstacle(context) === undefined,
+        mayAbandon: () => this.#mayAbandon(context, progress),
         receiver: session,
         onOwnHead: ({ notice, execution }) => {
           const source = execution === "executed" ? "answer" : "refusal";
