Notice a caller that leaves behind a body that waits for its turn

What callers would see: a generation goes on after its caller has left, if a second request with a large body waits on the connection. Cause: let requests of a connection take turns at all times; a body that nobody reads keeps Node.js from reading the end of the connection. Change: they take turns only while the instance leaves, which is when a response may end the connection before others. Measured: waiting_body failed before and passes; all 26 tests of the package pass.

--- a/packages/jujubeladder/src/entry/active_responses.ts
+++ b/packages/jujubeladder/src/entry/active_responses.ts
@@ -15,8 +15,8 @@
 
   /**
    * Counts a response until all of it has been sent, or its caller has left.
-   * Resolves once those before it on its connection have ended, with whether it
-   * can still be sent.
+   * While the instance leaves, resolves once those before it on its connection
+   * have ended, with whether it can still be sent.
    */
   async add(response: ServerResponse): Promise<boolean> {
     this.#active.add(response);
@@ -32,7 +32,9 @@
       socket.on("close", onClose);
     });
     const turn = this.#turns.take(response, ended);
-    if (this.#isLeaving) this.#closeWithLatest();
+    // Behind a body that nobody reads, a caller that leaves would go unnoticed.
+    if (!this.#isLeaving) return true;
+    this.#closeWithLatest();
     return await turn;
   }
 
