Let the directory of runners follow an era that was an error

What callers would see: after one answer with a wrong, greater era, an instance never again uses a runner whose entry expired once. Cause: the store's tracker corrects itself after 3 s; the directory kept the greatest era it had seen and filed absences under it. Found by the review. Change: the directory takes an earlier era once it has heard no later one for as long; the bound is the tracker's. Measured: lowered_era failed before and passes, with runner_absence, reregistration_grace and the random tests.

--- a/packages/gateway/src/views/runner_directory.ts
+++ b/packages/gateway/src/views/runner_directory.ts
@@ -1,5 +1,6 @@
 import Emittery from "emittery";
 import type { Logger } from "@jujubeladder/logger";
+import { monotonicMs } from "@jujubeladder/utils";
 import { compareStorePositions } from "../model/compare_store_positions.js";
 import type { GatewayRunner } from "../model/gateway_runner.js";
 import type { LeavingEvidence } from "../model/leaving_evidence.js";
@@ -7,6 +8,7 @@
 import type { RunnerAbsence } from "../model/runner_absence.js";
 import type { RunnerSighting } from "../model/runner_sighting.js";
 import type { StorePosition } from "../model/store_position.js";
+import { MAX_ERA_LATENESS_MS } from "../model/max_era_lateness_ms.js";
 import { toIncarnationId } from "../model/to_incarnation_id.js";
 import { describeLeavingEvidence } from "./describe_leaving_evidence.js";
 import { LeavingMarks } from "./leaving_marks.js";
@@ -37,6 +39,7 @@
   /** The runners of each service that may receive requests, once listed. */
   readonly #usable = new Map<string, readonly GatewayRunner[]>();
   #era: number | undefined;
+  #eraSeenAtMs = 0;
 
   constructor(logger: Logger) {
     this.#logger = logger;
@@ -129,9 +132,14 @@
 
   // A restored store lacks registrations, however short the outage seemed here.
   #recordEra({ era }: StorePosition): void {
+    const nowMs = monotonicMs();
     const known = this.#era ?? era;
+    const isLate =
+      era < known && nowMs - this.#eraSeenAtMs <= MAX_ERA_LATENESS_MS;
+    if (isLate) return;
     if (era > known) this.startReregistrationGrace();
-    this.#era = Math.max(era, known);
+    this.#era = era;
+    this.#eraSeenAtMs = nowMs;
   }
 
   #add(runner: GatewayRunner, sighting: RunnerSighting): void {
--- a/packages/gateway/src/views/store_era_tracker.ts
+++ b/packages/gateway/src/views/store_era_tracker.ts
@@ -1,11 +1,6 @@
 import type { Logger } from "@jujubeladder/logger";
 import { monotonicMs } from "@jujubeladder/utils";
-
-/**
- * Answers may be late by less, as no call to the store takes longer. If the
- * store tells an earlier era for longer, the known one was an error.
- */
-const MAX_LATENESS_MS = 3_000;
+import { MAX_ERA_LATENESS_MS } from "../model/max_era_lateness_ms.js";
 
 /**
  * Keeps the store's era, which rises by each restore of the store. A peer may
@@ -78,7 +73,7 @@
     const nowMs = monotonicMs();
     const known = this.#told;
     if (known !== undefined && era < known) {
-      if (nowMs - this.#toldAtMs <= MAX_LATENESS_MS) return;
+      if (nowMs - this.#toldAtMs <= MAX_ERA_LATENESS_MS) return;
       this.#logger.warn("store_era_lowered", { old_era: known, new_era: era });
     }
     this.#told = era;
