Tell followers that a reader whose list went back is behind

What callers would see: a follower misses the removal of a runner, if its reader falls back to a list of a peer that lags. Cause: the cache kept the greater revision of what it had told before, beside the older list. Found by the review. Change: the cache's position is that of its content; followers that know more go to another reader. Measured: the new case of restored_store failed before and passes, with store_readers, view_poller and sync_runners.

--- a/packages/gateway/src/views/runner_watch_cache.ts
+++ b/packages/gateway/src/views/runner_watch_cache.ts
@@ -116,11 +116,7 @@
     readonly asOf: StorePosition;
     readonly readAt: ClockReading;
   }): void {
-    // Within an era, a list of a peer may be older than what was told of here.
-    const isOtherEra = read.asOf.era !== this.#asOf.era;
-    if (isOtherEra || compareStorePositions(read.asOf, this.#asOf) > 0) {
-      this.#asOf = read.asOf;
-    }
+    this.#asOf = read.asOf;
     this.#readAt = read.readAt;
   }
 }
