Hear of a change while the next store reader has not been asked yet

Callers would see no use of a runner that registers up to 0.35 s before an outage of the store, until the store is back: an instance that has just changed its reader misses the change, and its readers pass nothing on once the store is away.

Cause: after a change of reader the new one is asked only when the pause since the last query has passed. Until then it does not know this follower, and the announcements of the reader before were ignored.

Ruled out: asking a new reader without a pause. In an outage, when readers fail one after the other, each instance would ask them all at once.

Change: announcements of the peer that was asked last end the pause, too, until the next one is asked.

Measured: the new test of `view_poller` failed before (350 ms).

--- a/packages/gateway/src/__tests__/view_poller.test.ts
+++ b/packages/gateway/src/__tests__/view_poller.test.ts
@@ -54,6 +54,23 @@
   assert.ok(second - first < 200, `${second - first} ms`);
 });
 
+test("the reader before announces until the next one has been asked", async () => {
+  const { poller, queriedAtMs } = createPoller();
+  await poller.poll(READER);
+  const next = poller.poll(OTHER);
+  await sleep(20);
+  poller.handleAnnouncement(READER);
+  await next;
+  const [first = 0, second = 0] = queriedAtMs;
+  assert.ok(second - first < 200, `${second - first} ms`);
+  const third = poller.poll(OTHER);
+  poller.handleAnnouncement(READER);
+  await sleep(20);
+  assert.is(queriedAtMs.length, 2);
+  poller.handleAnnouncement(OTHER);
+  await third;
+});
+
 test("a view that was asked for before does not serve a later watch", async () => {
   const answers: (() => void)[] = [];
   const poller = new ViewPoller(
--- a/packages/gateway/src/mesh/view_poller.ts
+++ b/packages/gateway/src/mesh/view_poller.ts
@@ -15,6 +15,8 @@
 export class ViewPoller {
   readonly #query: (peer: DatagramEndpoint) => Promise<ViewState | undefined>;
   #queriedAtMs = Number.NEGATIVE_INFINITY;
+  /** The peer that was asked last, which announces its changes. */
+  #asked: DatagramEndpoint | undefined;
   #isAnnounced = false;
   #wake: (() => void) | undefined;
   #current:
@@ -36,8 +38,7 @@
    * asked for after this call, so that its ages can be counted from it.
    */
   async poll(peer: DatagramEndpoint): Promise<ViewState | undefined> {
-    const { host, port } = this.#current?.peer ?? {};
-    const isOther = host !== peer.host || port !== peer.port;
+    const isOther = !isSame(peer, this.#current?.peer);
     if (!this.#current || isOther || this.#current.isSent) {
       const view = this.#pauseAndQuery(peer, () => {
         if (this.#current?.view === view) this.#current.isSent = true;
@@ -49,10 +50,13 @@
     return await this.#current.view;
   }
 
-  /** A peer's view has changed. */
-  handleAnnouncement({ host, port }: DatagramEndpoint): void {
-    const { peer } = this.#current ?? {};
-    if (peer?.host !== host || peer.port !== port) return;
+  /**
+   * A peer's view has changed. A new reader announces nothing before it has been
+   * asked; until then, the announcements of the one before count.
+   */
+  handleAnnouncement(from: DatagramEndpoint): void {
+    const isAwaited = isSame(from, this.#current?.peer);
+    if (!isAwaited && !isSame(from, this.#asked)) return;
     this.#isAnnounced = true;
     this.#wake?.();
   }
@@ -66,6 +70,7 @@
     await this.#pause(this.#isAnnounced ? 0 : Math.max(0, pauseMs));
     this.#isAnnounced = false;
     this.#queriedAtMs = monotonicMs();
+    this.#asked = peer;
     onSend();
     return await this.#query(peer);
   }
@@ -83,3 +88,7 @@
     });
   }
 }
+
+function isSame(a: DatagramEndpoint, b: DatagramEndpoint | undefined): boolean {
+  return a.host === b?.host && a.port === b.port;
+}
