--- a/packages/gateway/src/__tests__/restored_store_fleet.test.ts
+++ b/packages/gateway/src/__tests__/restored_store_fleet.test.ts
@@ -1,12 +1,13 @@
 import process from "node:process";
 import { suite } from "uvu";
 import * as assert from "uvu/assert";
-import { createSeededRandom } from "@jujubeladder/standins";
+import { createSeededRandom, loadKnownRed } from "@jujubeladder/standins";
 import { drawRestoreScenario } from "./restore_model/draw_restore_scenario.js";
 import type { RestoreViolation } from "./restore_model/restore_violation.js";
 import { runRestoreModel } from "./restore_model/run_restore_model.js";
 
 const test = suite("fleets on a restored store");
+const KNOWN_RED = loadKnownRed();
 const SEEDS = (process.env["RESTORE_SEEDS"] ?? "1").split(",").map(Number);
 const CASES = {
   "no configuration goes back": [
@@ -44,6 +45,11 @@
             const description = violations.get(kind);
             return description ? [`${kind}: ${description}`] : [];
           });
+          const id = `unit/restored_store_fleet/${kinds[0]}-${instances}-${length}-${seed}`;
+          if (found.length > 0 && KNOWN_RED.has(id)) {
+            process.stdout.write(`${id} failed known_red=true: ${found}\n`);
+            return;
+          }
           assert.equal(found, []);
         });
       }
--- a/packages/proofs/src/__tests__/prove.ts
+++ b/packages/proofs/src/__tests__/prove.ts
@@ -1,6 +1,6 @@
 import { rmSync } from "node:fs";
 import process from "node:process";
-import { loadKnownRed } from "./load_known_red.js";
+import { loadKnownRed } from "@jujubeladder/standins";
 import { generateTrace } from "./replay/generate_trace.js";
 import { loadTraces } from "./replay/load_traces.js";
 import { runTrace } from "./replay/run_trace.js";
--- a/packages/standins/src/mod.ts
+++ b/packages/standins/src/mod.ts
@@ -17,6 +17,7 @@
 export { Link } from "./link.js";
 export type { LinkMode } from "./link_mode.js";
 export { listen } from "./listen.js";
+export { loadKnownRed } from "./load_known_red.js";
 export type { PlainRun } from "./plain_run.js";
 export { PlainServer } from "./plain_server.js";
 export type { PlatformMode } from "./platform_mode.js";
