--- a/packages/gateway/src/views/active_config.ts
+++ b/packages/gateway/src/views/active_config.ts
@@ -15,7 +15,7 @@
 import { ChangeSignal } from "./change_signal.js";
 import type { ConfigSource } from "./config_source.js";
 
-/** A peer's word on a document, or this time, lets an instance be ready. */
+/** For how long a fresh instance waits for a peer's word on its document. */
 const START_WAIT_MS = 2_000;
 
 interface ActiveState {
@@ -38,7 +38,7 @@
   readonly #logger: Logger;
   #active: ActiveState | undefined;
   #confirmedAt: ClockReading | undefined;
-  /** A peer's latest confirmation of a document that isn't active here. */
+  /** The last confirmation heard of a document that isn't active here. */
   #otherConfirmed:
     { readonly hash: string; readonly at: ClockReading } | undefined;
   #readAt: ClockReading | undefined;
--- a/packages/gateway/src/views/pending_removals.ts
+++ b/packages/gateway/src/views/pending_removals.ts
@@ -3,10 +3,7 @@
 import { MAX_VIEW_AGE_MS } from "../model/max_view_age_ms.js";
 import type { StorePosition } from "../model/store_position.js";
 
-/**
- * After an outage or a restore, the store guarantees that live runners register
- * again within this time.
- */
+/** After an outage or a restore, live runners register again within this time. */
 const REREGISTRATION_GRACE_MS = 2_000;
 
 interface PendingRemoval {
