--- a/review/slow_client.pl
+++ b/review/slow_client.pl
@@ -4,10 +4,9 @@
 use strict;
 use warnings;
 use Socket;
-use Time::HiRes qw(sleep);
 
 my ($port, $path, $id, $hold_s, $then) = @ARGV;
-socket(my $socket, PF_INET, SOCK_STREAM, getprotobyname('tcp') || 6) or die;
+socket(my $socket, PF_INET, SOCK_STREAM, 6) or die;
 setsockopt($socket, SOL_SOCKET, SO_RCVBUF, pack('i', 4096)) or die;
 # The segments of an Ethernet link; those of the loopback are 64 KB long.
 setsockopt($socket, 6, 2, pack('i', 1460)) or die;
@@ -17,7 +16,7 @@
   "X-Jujubeladder-Request-Id: $id", 'X-Jujubeladder-Deadline-Ms: 39000',
   'X-Jujubeladder-Key: key-a', 'Content-Length: 0', '', ''));
 my $bytes = sysread($socket, my $text, 1000) // 0;
-sleep $hold_s;
+select(undef, undef, undef, $hold_s);
 if ($then eq 'read') {
   while (my $read = sysread($socket, $text, 65536, length $text)) {
     $bytes += $read;
--- a/review/standins.mjs
+++ b/review/standins.mjs
@@ -395,6 +395,10 @@
     return this._ports[0];
   }
 
+  get pid() {
+    return this._child.pid;
+  }
+
   get hasExited() {
     return this._hasExited;
   }
