Show that a run resumes elsewhere while it goes on

A run is to move off a leaving runner. Its answer is lost by a reset while the run goes on, and the runner, at its limit of connections, resets the orders to stop it. 120 ms later the request goes on at another runner; the one before works on it for 2.4 s more: TWICE.

--- a/review/standins.mjs
+++ b/review/standins.mjs
@@ -277,7 +277,7 @@
     });
   }
 
-  send(path, requestId, { deadlineMs, body = "" }) {
+  send(path, requestId, { deadlineMs, body = "", headers = [] }) {
     this._socket.write(
       [
         `POST ${path} HTTP/1.1`,
@@ -285,6 +285,7 @@
         `X-Jujubeladder-Request-Id: ${requestId}`,
         `X-Jujubeladder-Deadline-Ms: ${deadlineMs}`,
         `X-Jujubeladder-Key: key-a`,
+        ...headers,
         `Content-Length: ${Buffer.byteLength(body)}`,
         "",
         body,
@@ -355,7 +356,7 @@
       {
         name: "llm",
         health_path: "/health",
-        max_conns: 232,
+        max_conns: 64,
         engine: {
           slots: 24,
           kv_tokens: 34_161,
