--- a/review/standins.mjs
+++ b/review/standins.mjs
@@ -486,6 +486,16 @@
   const record = new Record(folder);
   const stops = [];
   let code = CODE_NOT_RUN;
+  const end = async () => {
+    for (const part of stops) await part.stop();
+    process.exit(code);
+  };
+  // The time limit of `run.sh`.
+  process.once("SIGTERM", () => {
+    record.write("RESULT: could not run: it took too long");
+    code = CODE_NOT_RUN;
+    void end();
+  });
   try {
     const isBroken = await play(record, (part) => {
       stops.unshift(part);
@@ -496,6 +506,5 @@
   } catch (error) {
     record.write(`RESULT: could not run: ${String(error)}`);
   }
-  for (const part of stops) await part.stop();
-  process.exit(code);
+  await end();
 }
