Resume a run elsewhere only once its source has stopped it

Cause: the end of a stream by the runner's side counted as the proof that its run had stopped, and was used once four orders to stop had failed within 120 ms. A connection's end says nothing of a run: an answer may be lost while the run goes on. A closed port counted too, though a process may close its port and finish what it has begun. The exploration of the state machine let each reset stop the run.

Change: StopProof is an answer of the source (stop_answered, no_such_run) or the end of its process (process_ended: a later start under its id or at its address, or two of a closed or silent port, the removal of the entry in which it said that it leaves, the exit that it told). Anything that answers lives. Orders go on with pauses of 100 to 500 ms, 16 at most, until the caller would leave.

The bound on orders in advance_migration is the new design's (4 while the stream is open, 16 after), the wait in run_migration the one that it is given.

--- a/packages/gateway/src/__tests__/advance_migration.test.ts
+++ b/packages/gateway/src/__tests__/advance_migration.test.ts
@@ -5,12 +5,15 @@
 import type { MigrationEvent } from "../decisions/migration_event.js";
 import type { MigrationState } from "../decisions/migration_state.js";
 import type { CopyOutcome } from "../model/copy_outcome.js";
+import type { SourceSigns } from "../model/source_signs.js";
 import type { StopProof } from "../model/stop_proof.js";
 import { createRunner } from "./create_runner.js";
 
 const SOURCE = createRunner("source");
 const TARGET = createRunner("target");
 const OTHER = createRunner("other");
+/** Four while the stream is open, and 16 once it is lost. */
+const MAX_ORDERS = 4 + 16;
 const INITIAL: MigrationState = { type: "idle" };
 const FIRST_COPY = { host: SOURCE.host, port: SOURCE.port, handle: "h" };
 const COPIED: MigrationState = {
@@ -25,6 +28,9 @@
   isAsking: true,
 };
 
+const REFUSED_CONNECTION: CopyOutcome = { type: "connection_refused" };
+const NO_RESPONSE: CopyOutcome = { type: "no_response" };
+
 function copyAnswered(outcome: CopyOutcome) {
   return {
     type: "copy_answered",
@@ -42,8 +48,14 @@
   { type: "refused", handle: "kept" },
   { type: "unreachable", reason: "reset" },
   { type: "connection_refused" },
+  { type: "no_response" },
 );
 
+const signs: fc.Arbitrary<SourceSigns> = fc.record({
+  presence: fc.constantFrom("unknown", "removed", "replaced"),
+  isPastExit: fc.boolean(),
+});
+
 const events: fc.Arbitrary<MigrationEvent> = fc.oneof(
   fc.constantFrom<MigrationEvent>(
     { type: "source_leaves", target: TARGET },
@@ -52,13 +64,20 @@
     { type: "target_search_done" },
     { type: "time_to_stop" },
     { type: "stream_broke" },
-    { type: "stream_broke", proof: "stream_ended" },
     { type: "confirm_timed_out" },
     { type: "run_ended" },
   ),
   outcomes.map(copyAnswered),
+  signs.map((seen): MigrationEvent => ({ type: "source_seen", signs: seen })),
 );
 
+function seen(
+  presence: SourceSigns["presence"],
+  isPastExit = false,
+): MigrationEvent {
+  return { type: "source_seen", signs: { presence, isPastExit } };
+}
+
 test("copies, waits, stops, copies the remainder and resumes on the target", () => {
   let step = advanceMigration(INITIAL, {
     type: "source_leaves",
@@ -87,21 +106,17 @@
   });
   const copied = copyAnswered({ type: "copied", handle: "h", eventCount: 3 });
   step = advanceMigration(step.state, copied);
-  step = advanceMigration(step.state, {
-    type: "stream_broke",
-    proof: "stream_ended",
-  });
-  // Asked first, as it may go on after a reset of its connections.
+  step = advanceMigration(step.state, { type: "stream_broke" });
   assert.equal(step.action, { type: "copy", target: TARGET, isFinal: true });
-  const late = advanceMigration(step.state, { type: "confirm_timed_out" });
   const stopped = { type: "stopped", runner: TARGET, cacheRef: FIRST_COPY };
-  assert.equal(late.state, { ...stopped, proof: "stream_ended" });
-  assert.is(late.action, undefined);
+  const gone = advanceMigration(step.state, copyAnswered(REFUSED_CONNECTION));
+  const ended = advanceMigration(gone.state, seen("removed"));
+  assert.equal(ended.state, { ...stopped, proof: "process_ended" });
   step = advanceMigration(step.state, copyAnswered({ type: "no_such_run" }));
   assert.equal(step.state, { ...stopped, proof: "no_such_run" });
 });
 
-test("a run whose stream this instance closed resumes only with a proof", () => {
+test("a run whose stream broke resumes only with a proof", () => {
   for (const before of [COPIED, STOPPING]) {
     const { state } = advanceMigration(before, { type: "stream_broke" });
     assert.is(state.type, "confirming");
@@ -109,41 +124,77 @@
       [{ type: "copied", handle: "h2", eventCount: 3 }, "stopped"],
       [{ type: "refused", handle: "kept" }, "stopped"],
       [{ type: "no_such_run" }, "stopped"],
-      [{ type: "connection_refused" }, "stopped"],
       [{ type: "refused" }, "confirming"],
       [{ type: "already_copying" }, "confirming"],
-      [{ type: "unreachable", reason: "no HTTP" }, "confirming"],
+      [{ type: "unreachable", reason: "ECONNRESET" }, "confirming"],
+      [REFUSED_CONNECTION, "confirming"],
+      [NO_RESPONSE, "confirming"],
     ]);
     for (const [outcome, expected] of proofs) {
       const step = advanceMigration(state, copyAnswered(outcome));
       assert.is(step.state.type, expected, outcome.type);
+      if (expected === "confirming")
+        assert.is(step.action?.type, "copy_final_later", outcome.type);
     }
     const late = advanceMigration(state, { type: "confirm_timed_out" });
     assert.is(late.state.type, "given_up");
   }
 });
 
-test("a closed port does not prove a stop while the stream is open", () => {
-  const step = advanceMigration(
-    STOPPING,
-    copyAnswered({ type: "connection_refused" }),
+test("a run whose answer was reset is not resumed while its orders are reset", () => {
+  let step = advanceMigration(COPIED, { type: "stream_broke" });
+  const reset = copyAnswered({ type: "unreachable", reason: "ECONNRESET" });
+  for (let n = 0; n < 40; n += 1) {
+    step = advanceMigration(step.state, reset);
+    step = { ...step, ...advanceMigration(step.state, seen("removed", true)) };
+    assert.is(step.state.type, "confirming");
+  }
+  const late = advanceMigration(step.state, { type: "confirm_timed_out" });
+  assert.is(late.state.type, "given_up");
+});
+
+test("the process of a source has ended only by two signs, or a new start", () => {
+  const { state } = advanceMigration(COPIED, { type: "stream_broke" });
+  const expected: readonly [CopyOutcome, MigrationEvent, boolean][] = [
+    [REFUSED_CONNECTION, seen("unknown"), false],
+    [REFUSED_CONNECTION, seen("removed"), true],
+    [REFUSED_CONNECTION, seen("unknown", true), true],
+    [NO_RESPONSE, seen("removed"), false],
+    [NO_RESPONSE, seen("unknown", true), false],
+    [NO_RESPONSE, seen("removed", true), true],
+    [{ type: "refused" }, seen("removed", true), false],
+    [{ type: "already_copying" }, seen("removed", true), false],
+    [{ type: "unreachable", reason: "reset" }, seen("removed", true), false],
+    [{ type: "unreachable", reason: "reset" }, seen("replaced"), true],
+  ];
+  for (const [outcome, sighting, hasEnded] of expected) {
+    const step = advanceMigration(state, copyAnswered(outcome));
+    const { type } = advanceMigration(step.state, sighting).state;
+    const text = JSON.stringify({ outcome, sighting });
+    assert.is(type, hasEnded ? "stopped" : "confirming", text);
+  }
+  assert.is(
+    advanceMigration(state, seen("removed", true)).state.type,
+    "confirming",
+    "before any order came back",
   );
+});
+
+test("a closed port does not prove a stop, also if the stream then breaks", () => {
+  const step = advanceMigration(STOPPING, copyAnswered(REFUSED_CONNECTION));
   assert.equal(step.state, { ...STOPPING, isAsking: false });
   assert.is(step.action, undefined);
-  const broke = { type: "stream_broke", proof: "stream_ended" } as const;
-  const { state } = advanceMigration(step.state, broke);
-  assert.is(state.type, "stopped");
+  const broke = advanceMigration(step.state, { type: "stream_broke" });
+  assert.is(broke.state.type, "confirming");
+  assert.equal(broke.action, { type: "copy", target: TARGET, isFinal: true });
 });
 
-test("a source that answers without stopping undoes the end of its stream", () => {
-  const broke = { type: "stream_broke", proof: "stream_ended" } as const;
-  let step = advanceMigration(COPIED, broke);
+test("a source that answers again after a closed port has not ended", () => {
+  let step = advanceMigration(COPIED, { type: "stream_broke" });
+  step = advanceMigration(step.state, copyAnswered(REFUSED_CONNECTION));
   step = advanceMigration(step.state, copyAnswered({ type: "refused" }));
-  assert.is(step.state.type, "confirming");
-  const late = advanceMigration(step.state, { type: "confirm_timed_out" });
-  assert.is(late.state.type, "given_up");
-  const answer = copyAnswered({ type: "no_such_run" });
-  assert.is(advanceMigration(step.state, answer).state.type, "stopped");
+  const { state } = advanceMigration(step.state, seen("removed", true));
+  assert.is(state.type, "confirming");
 });
 
 test("resumes on the stopped source when the target refuses the final copy", () => {
@@ -160,7 +211,11 @@
 test("orders the stop again when it is refused and leaves the stream open", () => {
   let step = advanceMigration(STOPPING, copyAnswered({ type: "refused" }));
   assert.is(step.state.type, "stopping");
-  assert.equal(step.action, { type: "copy_final_later", target: TARGET });
+  assert.equal(step.action, {
+    type: "copy_final_later",
+    target: TARGET,
+    pauseMs: 100,
+  });
   for (let n = 0; n < 20 && step.action; n += 1)
     step = advanceMigration(step.state, copyAnswered({ type: "refused" }));
   assert.is(step.state.type, "stopping");
@@ -221,9 +276,12 @@
         if (isOver) assert.is(action, undefined);
         state = next;
       }
-      assert.ok(stopOrders <= 8, "a source is asked to stop a few times");
       assert.ok(
-        actions < 30,
+        stopOrders <= MAX_ORDERS,
+        "a source is asked to stop a bounded number of times",
+      );
+      assert.ok(
+        actions < MAX_ORDERS + 20,
         "a migration ends after a bounded number of actions",
       );
     }),
@@ -235,18 +293,22 @@
   before: MigrationState,
   event: MigrationEvent,
 ): StopProof | undefined {
-  if (event.type === "stream_broke") return event.proof;
-  if (event.type === "confirm_timed_out" && before.type === "confirming")
-    return before.proof;
+  if (event.type === "source_seen" && before.type === "confirming") {
+    const { presence, isPastExit } = event.signs;
+    const isRemoved = presence === "removed";
+    const hasEnded =
+      presence === "replaced" ||
+      (before.contact === "refused" && (isRemoved || isPastExit)) ||
+      (before.contact === "silent" && isRemoved && isPastExit);
+    return hasEnded ? "process_ended" : undefined;
+  }
   if (event.type !== "copy_answered") return undefined;
   if (before.type !== "stopping" && before.type !== "confirming")
     return undefined;
   const { outcome } = event;
-  const ended = before.type === "confirming" ? before.proof : undefined;
   if ("handle" in outcome && outcome.handle) return "stop_answered";
-  const isGone =
-    outcome.type === "no_such_run" || outcome.type === "connection_refused";
-  return isGone && before.type === "confirming" ? outcome.type : ended;
+  const isAsked = before.type === "confirming";
+  return outcome.type === "no_such_run" && isAsked ? "no_such_run" : undefined;
 }
 
 /** Something that happens to a run on a source which ignores our close. */
@@ -261,8 +323,17 @@
   "garbles the answer",
   "is copying",
   "we close",
-  "stream reset by runner",
+  "stream reset, run stops",
+  "answer lost, run goes on",
+  "order reset",
+  "closes its port, run goes on",
+  "cut off from us",
+  "cut off from the store",
+  "cut off from both",
   "crashes",
+  "exits at its time",
+  "starts anew",
+  "source is looked up",
   "run completes",
   "no answer in time",
 );
@@ -275,6 +346,7 @@
       ["leaves", "executes the order"],
       ["leaves", "executes the order", "time to stop"],
       ["leaves", "executes the order", "we close"],
+      ["leaves", "executes the order", "answer lost, run goes on"],
     ),
     fc.array(happening, { maxLength: 30 }),
   )
@@ -287,7 +359,9 @@
       let state = INITIAL as MigrationState;
       let order: "first" | "final" | undefined;
       let isRunning = true;
-      let isListening = true;
+      let port: "open" | "closed" | "silent" = "open";
+      let signs: SourceSigns = { presence: "unknown", isPastExit: false };
+      let hasProcess = true;
       let isStreamOpen = true;
       const apply = (event: MigrationEvent) => {
         const step = advanceMigration(state, event);
@@ -303,18 +377,29 @@
         if (!order) return;
         const isFinal = order === "final";
         order = undefined;
-        if (!isListening) apply(copyAnswered({ type: "connection_refused" }));
+        if (port === "closed") apply(copyAnswered(REFUSED_CONNECTION));
+        else if (port === "silent") apply(copyAnswered(NO_RESPONSE));
         else if (!isRunning) apply(copyAnswered({ type: "no_such_run" }));
         else {
           if (isFinal && hasExecuted) isRunning = false;
           apply(copyAnswered(outcome));
         }
       };
-      const breakStream = (proof?: StopProof) => {
+      const breakStream = () => {
         if (!isStreamOpen) return;
         isStreamOpen = false;
-        apply({ type: "stream_broke", proof });
+        apply({ type: "stream_broke" });
+      };
+      const endProcess = () => {
+        hasProcess = false;
+        isRunning = false;
+        port = port === "silent" ? port : "closed";
+        signs = { ...signs, presence: "removed" };
+        breakStream();
       };
+      // Two causes that mislead at once are not played.
+      const mayMislead = () =>
+        hasProcess && port === "open" && signs.presence === "unknown";
       const lost: CopyOutcome = { type: "unreachable", reason: "timeout" };
       for (const happening of sequence) {
         switch (happening) {
@@ -350,14 +435,44 @@
           case "we close":
             breakStream();
             break;
-          case "stream reset by runner":
+          case "stream reset, run stops":
             isRunning = false;
-            breakStream("stream_ended");
+            breakStream();
+            break;
+          case "answer lost, run goes on":
+            breakStream();
+            break;
+          case "order reset":
+            if (port === "open") answer(lost, false);
+            break;
+          case "closes its port, run goes on":
+            if (mayMislead()) port = "closed";
+            break;
+          case "cut off from us":
+            if (mayMislead()) port = "silent";
+            break;
+          case "cut off from the store":
+            if (mayMislead()) signs = { ...signs, presence: "removed" };
+            break;
+          case "cut off from both":
+            if (!mayMislead()) break;
+            port = "silent";
+            signs = { ...signs, presence: "removed" };
             break;
           case "crashes":
-            isRunning = false;
-            isListening = false;
-            breakStream("stream_ended");
+            endProcess();
+            break;
+          case "exits at its time":
+            endProcess();
+            signs = { ...signs, isPastExit: true };
+            break;
+          case "starts anew":
+            endProcess();
+            port = "open";
+            signs = { ...signs, presence: "replaced" };
+            break;
+          case "source is looked up":
+            apply({ type: "source_seen", signs });
             break;
           case "run completes":
             isRunning = false;
@@ -373,7 +488,7 @@
     { numRuns: 20_000 },
   );
   // Guards against a property that holds because nothing ever resumes.
-  for (const proof of ["stop_answered", "no_such_run", "stream_ended"])
+  for (const proof of ["stop_answered", "no_such_run", "process_ended"])
     assert.ok(reached.has(proof), proof);
 });
 
--- a/packages/gateway/src/__tests__/returned_runner.test.ts
+++ b/packages/gateway/src/__tests__/returned_runner.test.ts
@@ -83,7 +83,7 @@
   await sleep(50);
   directory.put(A, RETURNED_AS_OF);
   await sleep(MOVED_MS);
-  const state = await migration.resolveAfterBreak("stream_ended", 1_000);
+  const state = await migration.resolveAfterBreak(1_000);
   assert.is(state.type === "stopped" && state.runner.runnerId, "b");
   migration.finish();
 });
@@ -97,7 +97,7 @@
   directory.put(A, RETURNED_AS_OF);
   directory.markLeaving(toIncarnationId(A), "report");
   await sleep(MOVED_MS);
-  const state = await migration.resolveAfterBreak("stream_ended", 1_000);
+  const state = await migration.resolveAfterBreak(1_000);
   assert.is(state.type === "stopped" && state.runner.runnerId, "b");
   migration.finish();
 });
--- a/packages/gateway/src/__tests__/run_migration.test.ts
+++ b/packages/gateway/src/__tests__/run_migration.test.ts
@@ -6,13 +6,15 @@
 import * as assert from "uvu/assert";
 import { FleetRetryBudget } from "../decisions/fleet_retry_budget.js";
 import type { CopyOutcome } from "../model/copy_outcome.js";
+import type { RunnerPresence } from "../model/runner_presence.js";
 import { RunMigration } from "../relay/run_migration.js";
 import { createRunner } from "./create_runner.js";
 
 const SCENARIO_COUNT = 400;
-/** Longest wait for a source's answer, and time to act on it. */
-const MAX_RESOLVE_MS = 1_000 + 100;
+/** Time to act on what a source answers. */
+const ACT_MS = 100;
 const NS_PER_MS = 1_000_000;
+const SHOWN_AFTER_MS = 500;
 /** Time that an engine takes which hangs. */
 const NEVER = Number.POSITIVE_INFINITY;
 
@@ -25,9 +27,11 @@
   finalCopies: fc.array(createAnswers("kept"), { maxLength: 4 }),
   exitsInMs: fc.constantFrom(380, 420, 500, 60_000),
   endsAtMs: fc.integer({ min: 1, max: 250 }),
-  end: fc.constantFrom("runner ends it", "we close", "run completes"),
-  /** Time until the request's deadline. */
-  maxWaitMs: fc.constantFrom(0, 50, 60_000),
+  end: fc.constantFrom("stream breaks", "run completes"),
+  /** Time until the request's deadline, or until its caller leaves. */
+  maxWaitMs: fc.constantFrom(0, 50, 1_500, 4_000),
+  /** What the store shows of the source from half a second after the end on. */
+  presence: fc.constantFrom<RunnerPresence>("unknown", "removed", "replaced"),
 });
 
 type Scenario =
@@ -47,6 +51,7 @@
       { type: "already_copying" },
       { type: "unreachable", reason: "no answer" },
       { type: "connection_refused" },
+      { type: "no_response" },
     ),
     takesMs: fc.constantFrom(0, 5, 60, 300, 1_300, NEVER),
   });
@@ -62,8 +67,7 @@
   const maxDelayMs = loopDelay.max / NS_PER_MS;
   for (const { scenario, resolveMs, held } of runs) {
     const text = JSON.stringify({ ...scenario, held, resolveMs, maxDelayMs });
-    const boundMs = Math.min(MAX_RESOLVE_MS, scenario.maxWaitMs + 100);
-    assert.ok(resolveMs < boundMs + 2 * maxDelayMs, text);
+    assert.ok(resolveMs < scenario.maxWaitMs + ACT_MS + 2 * maxDelayMs, text);
     assert.equal(held, [], text);
   }
   // Guards against a check that holds because nothing ever resumes.
@@ -119,6 +123,7 @@
       reserve: () => () => undefined,
     },
     bookResumption: () => budget.book("s", "resumption"),
+    findPresence: () => "unknown",
     logger: new Logger({}),
   });
   return { migration, orders };
@@ -126,6 +131,7 @@
 
 async function play(scenario: Scenario) {
   const { endsAtMs, end } = scenario;
+  let endedAtMs = Number.POSITIVE_INFINITY;
   const held = new Set<string>();
   const first = [...scenario.firstCopies];
   const final = [...scenario.finalCopies];
@@ -157,20 +163,21 @@
       recordSent: () => undefined,
       release: () => undefined,
     }),
+    findPresence: () =>
+      monotonicMs() - endedAtMs > SHOWN_AFTER_MS
+        ? scenario.presence
+        : "unknown",
     logger: new Logger({}),
   });
   migration.start(monotonicMs() + scenario.exitsInMs);
   await sleep(endsAtMs);
-  const endedAtMs = monotonicMs();
+  endedAtMs = monotonicMs();
   let state: string | undefined;
   let used: string | undefined;
   if (end !== "run completes") {
     const resolved = await settleWithin(
-      migration.resolveAfterBreak(
-        end === "runner ends it" ? "stream_ended" : undefined,
-        scenario.maxWaitMs,
-      ),
-      5_000,
+      migration.resolveAfterBreak(scenario.maxWaitMs),
+      6_000,
     );
     state = resolved?.type;
     if (resolved?.type === "stopped") used = resolved.cacheRef.handle;
--- a/packages/gateway/src/decisions/advance_migration.ts
+++ b/packages/gateway/src/decisions/advance_migration.ts
@@ -1,9 +1,11 @@
 import type { GatewayRunner } from "../model/gateway_runner.js";
 import type { KvCacheRef } from "../model/kv_cache_ref.js";
-import type { StopProof } from "../model/stop_proof.js";
+import type { SourceSigns } from "../model/source_signs.js";
+import { hasProcessEnded } from "./has_process_ended.js";
 import type { MigrationEvent } from "./migration_event.js";
 import type { MigrationState } from "./migration_state.js";
 import type { MigrationStep } from "./migration_step.js";
+import type { SourceContact } from "./source_contact.js";
 
 /**
  * Failed copies and target searches after which a migration is given up.
@@ -11,8 +13,17 @@
  * leaving runner gives before it exits.
  */
 const MAX_ATTEMPTS = 17;
-/** Orders to stop a run before its source counts as not answering them. */
+/** Orders to stop a run whose stream is open. */
 const MAX_STOP_ORDERS = 4;
+/**
+ * Orders to stop a run whose stream is lost. With the pauses between them they
+ * span the longest gap in a stream that callers bear.
+ */
+const MAX_CONFIRM_ORDERS = 16;
+/** Pause before a final copy that failed is ordered again. */
+const STOP_PAUSE_MS = 100;
+/** Limit of that pause, which doubles once the stream is lost. */
+const MAX_STOP_PAUSE_MS = 500;
 const UNCONFIRMED = "the source has not confirmed that the run stopped";
 
 type CopyAnswered = Extract<MigrationEvent, { type: "copy_answered" }>;
@@ -24,8 +35,9 @@
  * State machine for the live migration of one run. The KV cache is copied
  * while the run continues; as late as possible the run is stopped and the
  * remainder copied, so that the caller only waits for the remainder. A run
- * resumes on another runner only with a proof that it stopped, so that it never
- * executes on two at once. Without one, the stream is lost.
+ * resumes on another runner only with an answer of its source or a sign that the
+ * source's process has ended, so that it never executes on two at once. Without
+ * one, the stream is lost.
  */
 export function advanceMigration(
   state: MigrationState,
@@ -48,9 +60,13 @@
     case "time_to_stop":
       return state.type === "copied" ? stopAndCopy(state) : { state };
     case "stream_broke":
-      return onStreamBroken(state, event.proof);
+      return onStreamBroken(state);
+    case "source_seen":
+      return state.type === "confirming"
+        ? endIfProcessEnded(state, event.signs)
+        : { state };
     case "confirm_timed_out":
-      return state.type === "confirming" ? endConfirming(state) : { state };
+      return state.type === "confirming" ? giveUp(UNCONFIRMED) : { state };
     case "run_ended":
       return state.type === "stopped" ? { state } : giveUp("the run has ended");
   }
@@ -99,6 +115,8 @@
       return giveUp("the run is being copied already");
     case "connection_refused":
       return giveUp("the runner refuses connections");
+    case "no_response":
+      return giveUp("the runner does not respond");
     case "unreachable":
       return giveUp(outcome.reason);
   }
@@ -131,51 +149,61 @@
       // A source that stopped the run retains its KV cache and returns a
       // handle, so the run can resume there.
       return outcome.handle === undefined
-        ? stopAgain(withoutProof(state))
+        ? stopAgain(state, "answered")
         : stopped(state, {
             runner: source,
             cacheRef: toCacheRef(event, outcome.handle),
             proof: "stop_answered",
           });
     case "no_such_run":
+      // While the stream is open, its end shows whether the run was complete.
+      return state.type === "stopping"
+        ? { state: { ...state, isAsking: false } }
+        : stopped(state, { runner: target, cacheRef, proof: "no_such_run" });
     case "connection_refused":
-      // While the stream is open, its end shows whether the run was complete;
-      // a runner may close its port and finish what it has begun.
+      // A runner may close its port and finish what it has begun.
       return state.type === "stopping"
         ? { state: { ...state, isAsking: false } }
-        : stopped(state, { runner: target, cacheRef, proof: outcome.type });
+        : stopAgain(state, "refused");
+    case "no_response":
+      return stopAgain(state, "silent");
     case "already_copying":
     case "unreachable":
-      return stopAgain(state);
+      return stopAgain(state, "answered");
   }
 }
 
-// The run may still execute, so only the source can tell that it stopped.
-function stopAgain(state: Stopping | Confirming): MigrationStep {
-  const { target } = state;
-  const failedStops = state.failedStops + 1;
-  if (failedStops < MAX_STOP_ORDERS) {
-    return {
-      state: { ...state, failedStops },
-      action: { type: "copy_final_later", target },
-    };
+// The run may still execute, so the source is asked again.
+function stopAgain(
+  before: Stopping | Confirming,
+  contact: SourceContact,
+): MigrationStep {
+  const failedStops = before.failedStops + 1;
+  const { target } = before;
+  if (before.type === "stopping") {
+    return failedStops < MAX_STOP_ORDERS
+      ? {
+          state: { ...before, failedStops },
+          action: { type: "copy_final_later", target, pauseMs: STOP_PAUSE_MS },
+        }
+      : { state: { ...before, failedStops, isAsking: false } };
   }
-  return state.type === "stopping"
-    ? { state: { ...state, failedStops, isAsking: false } }
-    : endConfirming(state);
+  const state = { ...before, failedStops, contact };
+  if (failedStops >= MAX_CONFIRM_ORDERS) return { state };
+  const pauseMs = Math.min(
+    MAX_STOP_PAUSE_MS,
+    STOP_PAUSE_MS * 2 ** (failedStops - 1),
+  );
+  return { state, action: { type: "copy_final_later", target, pauseMs } };
 }
 
-// A source that answers but has not stopped the run may still execute it, also
-// if its connection was reset.
-function withoutProof(state: Stopping | Confirming): Stopping | Confirming {
-  return state.type === "confirming" ? { ...state, proof: undefined } : state;
-}
-
-function endConfirming(state: Confirming): MigrationStep {
-  const { target, cacheRef, proof } = state;
-  return proof
-    ? stopped(state, { runner: target, cacheRef, proof })
-    : giveUp(UNCONFIRMED);
+function endIfProcessEnded(
+  state: Confirming,
+  signs: SourceSigns,
+): MigrationStep {
+  if (!hasProcessEnded(state.contact, signs)) return { state };
+  const { target: runner, cacheRef } = state;
+  return stopped(state, { runner, cacheRef, proof: "process_ended" });
 }
 
 function stopped(
@@ -189,23 +217,22 @@
   };
 }
 
-// The stream is lost, but the target holds the copy made before. A source that
-// has not been told to stop is asked in any case: its connections may have been
-// reset while it goes on.
-function onStreamBroken(
-  state: MigrationState,
-  proof: StopProof | undefined,
-): MigrationStep {
+// The stream is lost, but the target holds the copy made before. The source is
+// asked in any case: the end of a connection says nothing of the run.
+function onStreamBroken(state: MigrationState): MigrationStep {
   switch (state.type) {
     case "copied":
     case "stopping": {
       const { target, cacheRef } = state;
-      if (proof && state.type === "stopping") {
-        return { state: { type: "stopped", runner: target, cacheRef, proof } };
-      }
       const isAsking = state.type === "stopping" && state.isAsking;
       return {
-        state: { type: "confirming", target, cacheRef, failedStops: 0, proof },
+        state: {
+          type: "confirming",
+          target,
+          cacheRef,
+          failedStops: 0,
+          contact: "unknown",
+        },
         action: isAsking ? undefined : { type: "copy", target, isFinal: true },
       };
     }
--- a/packages/gateway/src/decisions/migration_action.ts
+++ b/packages/gateway/src/decisions/migration_action.ts
@@ -11,7 +11,11 @@
   /** Copy after a pause in which the run can start. */
   | { readonly type: "copy_later"; readonly target: GatewayRunner }
   /** Repeat the final copy after a pause. */
-  | { readonly type: "copy_final_later"; readonly target: GatewayRunner }
+  | {
+      readonly type: "copy_final_later";
+      readonly target: GatewayRunner;
+      readonly pauseMs: number;
+    }
   /** Raise `target_search_done` after a pause in which other work can end. */
   | { readonly type: "find_target_later" }
   /**
--- a/packages/gateway/src/decisions/migration_event.ts
+++ b/packages/gateway/src/decisions/migration_event.ts
@@ -1,6 +1,6 @@
 import type { CopyOutcome } from "../model/copy_outcome.js";
 import type { GatewayRunner } from "../model/gateway_runner.js";
-import type { StopProof } from "../model/stop_proof.js";
+import type { SourceSigns } from "../model/source_signs.js";
 
 /** An event in the migration of a run. */
 export type MigrationEvent =
@@ -23,12 +23,10 @@
     }
   /** The source is about to exit; the run must stop there now. */
   | { readonly type: "time_to_stop" }
-  /** The stream ended early. */
-  | {
-      readonly type: "stream_broke";
-      /** Absent if this instance ended the stream. */
-      readonly proof?: StopProof | undefined;
-    }
+  /** The stream ended early, by either end. */
+  | { readonly type: "stream_broke" }
+  /** The source was looked up while it had not confirmed the stop. */
+  | { readonly type: "source_seen"; readonly signs: SourceSigns }
   /** The source has not confirmed in time that the run stopped. */
   | { readonly type: "confirm_timed_out" }
   /** The run ended, or its caller disconnected. */
--- a/packages/gateway/src/decisions/migration_state.ts
+++ b/packages/gateway/src/decisions/migration_state.ts
@@ -1,6 +1,7 @@
 import type { GatewayRunner } from "../model/gateway_runner.js";
 import type { KvCacheRef } from "../model/kv_cache_ref.js";
 import type { StopProof } from "../model/stop_proof.js";
+import type { SourceContact } from "./source_contact.js";
 
 /** State of the migration of one run away from its runner. */
 export type MigrationState =
@@ -40,8 +41,7 @@
       readonly target: GatewayRunner;
       readonly cacheRef: KvCacheRef;
       readonly failedStops: number;
-      /** What the end of the stream shows, if the source does not answer. */
-      readonly proof?: StopProof | undefined;
+      readonly contact: SourceContact;
     }
   /** The run has stopped and can resume on `runner` from `cacheRef`. */
   | {
--- a/packages/gateway/src/mod.ts
+++ b/packages/gateway/src/mod.ts
@@ -14,6 +14,7 @@
 export type { GatewaySettings } from "./server/gateway_settings.js";
 export type { GatewayTeam } from "./model/gateway_team.js";
 export type { GenerationWork } from "./model/generation_work.js";
+export { CONNECT_TIMED_OUT } from "./transport/connect_timed_out.js";
 export { sendAndBuffer } from "./transport/send_and_buffer.js";
 export { RefusedEntryLog } from "./views/refused_entry_log.js";
 export { HttpConnection } from "./transport/http_connection.js";
--- a/packages/gateway/src/model/copy_outcome.ts
+++ b/packages/gateway/src/model/copy_outcome.ts
@@ -15,5 +15,7 @@
     }
   /** Nothing listens at the source's address. */
   | { readonly type: "connection_refused" }
+  /** The source's address did not respond to the connection. */
+  | { readonly type: "no_response" }
   /** No valid answer; the order may have been executed. */
   | { readonly type: "unreachable"; readonly reason: string };
--- a/packages/gateway/src/model/retry_policy.ts
+++ b/packages/gateway/src/model/retry_policy.ts
@@ -8,4 +8,6 @@
       readonly isResumable: boolean;
       /** Maximum gap between events for the stream to count as on time. */
       readonly maxGapMs: number;
+      /** Gap between events, or before the first, at which callers leave. */
+      readonly abandonGapMs: number;
     };
--- a/packages/gateway/src/relay/request_relay.ts
+++ b/packages/gateway/src/relay/request_relay.ts
@@ -2,6 +2,7 @@
 import type { Logger } from "@jujubeladder/logger";
 import type { Metrics } from "@jujubeladder/metrics";
 import { monotonicMs } from "@jujubeladder/utils";
+import { findConfirmationMs } from "./find_confirmation_ms.js";
 import { endsBeforeExit } from "../decisions/ends_before_exit.js";
 import { estimateRetryAfterMs } from "../decisions/estimate_retry_after_ms.js";
 import { FailureBlame } from "../decisions/failure_blame.js";
@@ -374,11 +375,10 @@
       } else if (outcome.type === "answered" || outcome.type === "streamed") {
         pool.release(runner.runnerId, connection, head?.keepAliveMs);
       }
-      const hasRunnerEnded = ended.endedBy === "runner";
       if (outcome.type === "broken" && migration) {
         const state = await migration.resolveAfterBreak(
-          hasRunnerEnded ? "stream_ended" : undefined,
-          remainingMs(context),
+          findConfirmationMs(context, session?.lastEventAtMs),
+          context.response.cancelSignal,
         );
         if (state.type === "stopped") {
           progress.continueAt = {
--- a/packages/gateway/src/relay/run_migration.ts
+++ b/packages/gateway/src/relay/run_migration.ts
@@ -1,5 +1,5 @@
 import type { Logger } from "@jujubeladder/logger";
-import { monotonicMs, settleWithin, sleep } from "@jujubeladder/utils";
+import { monotonicMs, sleep } from "@jujubeladder/utils";
 import { advanceMigration } from "../decisions/advance_migration.js";
 import type { RetryBooking } from "../decisions/retry_booking.js";
 import type { MigrationEvent } from "../decisions/migration_event.js";
@@ -7,22 +7,15 @@
 import type { MigrationState } from "../decisions/migration_state.js";
 import type { EngineControl } from "../model/engine_control.js";
 import type { GatewayRunner } from "../model/gateway_runner.js";
-import type { StopProof } from "../model/stop_proof.js";
+import type { RunnerPresence } from "../model/runner_presence.js";
 import { EndSignal } from "./end_signal.js";
 
 /** A longer copy would outlast the notice that a leaving runner gives. */
 const COPY_TIMEOUT_MS = 4_000;
-/** How long a broken stream waits for confirmation that its run stopped. */
-const STOP_CONFIRM_TIMEOUT_MS = 1_000;
-/**
- * How long a stream that the source ended waits, as the run has probably
- * stopped: two round trips between regions.
- */
-const ENDED_CONFIRM_TIMEOUT_MS = 120;
 /** Delay before a copy is retried for a run that has not started yet. */
 const COPY_RETRY_DELAY_MS = 120;
-/** Delay before a final copy that failed is ordered again. */
-const STOP_RETRY_DELAY_MS = 100;
+/** Interval at which a source that has not confirmed a stop is looked up. */
+const SOURCE_POLL_INTERVAL_MS = 50;
 /**
  * How long a stopped run's stream may stay open: events in flight need a round
  * trip between regions, and the caller waits meanwhile.
@@ -50,6 +43,7 @@
   readonly #control: EngineControl;
   readonly #targets: MigrationTargets;
   readonly #bookResumption: () => RetryBooking | undefined;
+  readonly #findPresence: () => RunnerPresence;
   readonly #logger: Logger;
   readonly #refusedRunnerIds = new Set<string>();
   /** Handles of the copies that may still occupy memory. */
@@ -57,10 +51,14 @@
   readonly #ended = new EndSignal();
   /** Set when the source's stream has ended. */
   readonly #streamEnded = new EndSignal();
+  /** Set when the source is known to have stopped the run, or never will be. */
+  readonly #confirmed = new EndSignal();
   #state: MigrationState = { type: "idle" };
   #booking: RetryBooking | undefined;
   #isResuming = false;
   #sourceExitAtMs = Number.POSITIVE_INFINITY;
+  /** When the source has exited by its own word. */
+  #statedExitAtMs = Number.POSITIVE_INFINITY;
   #task: Promise<void> | undefined;
   #closeSource: () => void = () => undefined;
   #releaseTarget: () => void = () => undefined;
@@ -72,6 +70,7 @@
     readonly targets: MigrationTargets;
     /** Undefined while the retry budget does not allow a resumption. */
     readonly bookResumption: () => RetryBooking | undefined;
+    readonly findPresence: () => RunnerPresence;
     readonly logger: Logger;
   }) {
     this.#source = dependencies.source;
@@ -79,6 +78,7 @@
     this.#control = dependencies.control;
     this.#targets = dependencies.targets;
     this.#bookResumption = dependencies.bookResumption;
+    this.#findPresence = dependencies.findPresence;
     this.#logger = dependencies.logger;
   }
 
@@ -104,9 +104,16 @@
     this.#task = this.#execute(action);
   }
 
-  /** Updates the time at which the source will exit (monotonic clock). */
-  setSourceExitAt(exitAtMs: number): void {
-    this.#sourceExitAtMs = exitAtMs;
+  /**
+   * Updates the time at which the source will exit by its own word, on the
+   * monotonic clock. It may be as early as `earliestMs` if its word is old.
+   */
+  setSourceExit(exit: {
+    readonly earliestMs: number;
+    readonly latestMs: number;
+  }): void {
+    this.#sourceExitAtMs = exit.earliestMs;
+    this.#statedExitAtMs = exit.latestMs;
   }
 
   /** Sets the function that closes the stream from the source. */
@@ -115,49 +122,41 @@
   }
 
   /**
-   * Called when the run's stream ended early; `proof` is absent if this
-   * instance ended it. Waits for the source, at most `maxWaitMs`. Returns the
+   * Called when the run's stream ended early. Waits until it is known that the
+   * run has stopped, at most `maxWaitMs` or until `signal` aborts. Returns the
    * resulting state, which holds the runner on which the run resumes, if there
    * is one.
    */
   async resolveAfterBreak(
-    proof: StopProof | undefined,
     maxWaitMs: number,
+    signal?: AbortSignal,
   ): Promise<MigrationState> {
     const brokeAtMs = monotonicMs();
+    const onAbort = () => {
+      this.#confirmed.end();
+    };
+    signal?.addEventListener("abort", onAbort, { once: true });
+    if (signal?.aborted) onAbort();
     this.#streamEnded.end();
-    const leftMs = (timeoutMs: number) =>
-      Math.max(0, brokeAtMs + Math.min(timeoutMs, maxWaitMs) - monotonicMs());
-    // The final copy holds more than the first, so its answer is awaited also
-    // if the run is known to have stopped.
-    if (this.#task && this.#state.type === "stopping") {
-      await settleWithin(this.#task, leftMs(ENDED_CONFIRM_TIMEOUT_MS));
-      if (!(proof && this.#hasFailedToStop))
-        await settleWithin(this.#task, leftMs(STOP_CONFIRM_TIMEOUT_MS));
-    }
-    const action = this.#advance({ type: "stream_broke", proof }, brokeAtMs);
-    if (this.#state.type === "confirming") {
-      const confirmation = action ? this.#execute(action) : this.#task;
-      if (confirmation) {
-        await settleWithin(confirmation, leftMs(ENDED_CONFIRM_TIMEOUT_MS));
-        if (!this.#hasProof)
-          await settleWithin(confirmation, leftMs(STOP_CONFIRM_TIMEOUT_MS));
-      }
-      this.#advance({ type: "confirm_timed_out" }, brokeAtMs);
+    const action = this.#advance({ type: "stream_broke" }, brokeAtMs);
+    if (action) this.#task = this.#execute(action);
+    while (this.#state.type === "confirming" && !this.#confirmed.hasEnded) {
+      const nowMs = monotonicMs();
+      const leftMs = brokeAtMs + maxWaitMs - nowMs;
+      if (leftMs <= 0) break;
+      const isPastExit = nowMs >= this.#statedExitAtMs;
+      const signs = { presence: this.#findPresence(), isPastExit };
+      this.#advance({ type: "source_seen", signs }, brokeAtMs);
+      const stepMs = Math.min(SOURCE_POLL_INTERVAL_MS, leftMs);
+      await sleep(stepMs, this.#confirmed.signal);
     }
+    signal?.removeEventListener("abort", onAbort);
+    this.#advance({ type: "confirm_timed_out" }, brokeAtMs);
     this.#ended.end();
     this.#isResuming = this.#state.type === "stopped";
     return this.#state;
   }
 
-  get #hasFailedToStop(): boolean {
-    return this.#state.type === "stopping" && this.#state.failedStops > 0;
-  }
-
-  get #hasProof(): boolean {
-    return this.#state.type !== "confirming" || this.#state.proof !== undefined;
-  }
-
   /** Passes on the budget for the attempt with which the run resumes. */
   takeBooking(): RetryBooking | undefined {
     const booking = this.#booking;
@@ -183,8 +182,9 @@
     const before = this.#state;
     const step = advanceMigration(before, event);
     this.#state = step.state;
-    if (before.type === step.state.type) return step.action;
-    this.#log(step.state, atMs);
+    const hasChanged = before.type !== step.state.type;
+    if (hasChanged && before.type === "confirming") this.#confirmed.end();
+    if (hasChanged) this.#log(step.state, atMs);
     return step.action;
   }
 
@@ -202,7 +202,7 @@
           action = { type: "copy", target: action.target, isFinal: false };
           break;
         case "copy_final_later":
-          await sleep(STOP_RETRY_DELAY_MS, this.#ended.signal);
+          await sleep(action.pauseMs, this.#ended.signal);
           action = { type: "copy", target: action.target, isFinal: true };
           break;
         case "find_target_later":
--- a/packages/gateway/src/relay/run_migrator.ts
+++ b/packages/gateway/src/relay/run_migrator.ts
@@ -53,13 +53,15 @@
     const { service, request } = context;
     const { engine } = service;
     if (!engine?.canMigrate) return undefined;
-    const { control, scheduler, retries, logger } = this.#dependencies;
+    const { control, scheduler, directory, retries, logger } =
+      this.#dependencies;
     const migration = new RunMigration({
       source: runner,
       requestId: request.requestId,
       control,
       logger,
       bookResumption: retries.createBooker(context, "resumption"),
+      findPresence: () => directory.findPresence(runner),
       targets: {
         choose: (refusedRunnerIds) =>
           chooseMigrationTarget(
@@ -159,7 +161,10 @@
     });
     if (exitsInMs === undefined) return;
     // The remaining time is as old as the rest of the report.
-    const exitAtMs = readAtMs - REPORT_LAG_MS + exitsInMs;
-    for (const migration of migrations) migration.setSourceExitAt(exitAtMs);
+    const exit = {
+      earliestMs: readAtMs - REPORT_LAG_MS + exitsInMs,
+      latestMs: monotonicMs() + exitsInMs,
+    };
+    for (const migration of migrations) migration.setSourceExit(exit);
   }
 }
--- a/packages/gateway/src/relay/stop_abandoned_run.ts
+++ b/packages/gateway/src/relay/stop_abandoned_run.ts
@@ -76,7 +76,7 @@
       // A request that waits or is in prefill is no run yet either.
       return hasStarted ? "no_such_run" : undefined;
     case "connection_refused":
-      return "connection_refused";
+    case "no_response":
     case "already_copying":
     case "unreachable":
       return undefined;
--- a/packages/gateway/src/relay/stream_session.ts
+++ b/packages/gateway/src/relay/stream_session.ts
@@ -57,6 +57,11 @@
     return this.#firstEventAtMs;
   }
 
+  /** Time of the latest event, on the monotonic clock. */
+  get lastEventAtMs(): number | undefined {
+    return this.#lastEventAtMs;
+  }
+
   /** Longest time between two consecutive events. */
   get longestGapMs(): number {
     return this.#longestGapMs;
--- a/packages/gateway/src/transport/http_connection.ts
+++ b/packages/gateway/src/transport/http_connection.ts
@@ -4,6 +4,7 @@
 import Client from "undici/lib/dispatcher/client.js";
 import type { Result } from "@jujubeladder/types";
 import { describeError, monotonicMs } from "@jujubeladder/utils";
+import { CONNECT_TIMED_OUT } from "./connect_timed_out.js";
 import { hasPeerReset } from "./has_peer_reset.js";
 import type { ResponseSink } from "./response_sink.js";
 import type { Exchange } from "./exchange.js";
@@ -125,7 +126,7 @@
         finish({ ok: false, error: "the caller has left" });
       };
       const timer = setTimeout(() => {
-        finish({ ok: false, error: "the connection timed out" });
+        finish({ ok: false, error: CONNECT_TIMED_OUT });
       }, options.timeoutMs);
       socket.once("error", onError);
       options.signal?.addEventListener("abort", onAbort, { once: true });
--- a/packages/gateway/src/views/runner_directory.ts
+++ b/packages/gateway/src/views/runner_directory.ts
@@ -6,11 +6,13 @@
 import type { LeavingEvidence } from "../model/leaving_evidence.js";
 import type { LeavingSource } from "../model/leaving_source.js";
 import type { RunnerAbsence } from "../model/runner_absence.js";
+import type { RunnerPresence } from "../model/runner_presence.js";
 import type { RunnerSighting } from "../model/runner_sighting.js";
 import type { StorePosition } from "../model/store_position.js";
 import { MAX_ERA_LATENESS_MS } from "../model/max_era_lateness_ms.js";
 import { toIncarnationId } from "../model/to_incarnation_id.js";
 import { describeLeavingEvidence } from "./describe_leaving_evidence.js";
+import { DepartedRunners } from "./departed_runners.js";
 import { LeavingMarks } from "./leaving_marks.js";
 import { PendingRemovals } from "./pending_removals.js";
 
@@ -36,6 +38,9 @@
   readonly #sightedAsOf = new Map<string, StorePosition>();
   readonly #marks = new LeavingMarks();
   readonly #pendingRemovals = new PendingRemovals();
+  readonly #departed = new DepartedRunners();
+  /** The runner that was listed last at each address. */
+  readonly #byAddress = new Map<string, GatewayRunner>();
   /** The runners of each service that may receive requests, once listed. */
   readonly #usable = new Map<string, readonly GatewayRunner[]>();
   #era: number | undefined;
@@ -59,6 +64,21 @@
     return !runner || this.#marks.has(toIncarnationId(runner));
   }
 
+  /** What the store's list shows of a runner's incarnation. */
+  findPresence(runner: GatewayRunner): RunnerPresence {
+    const { runnerId, startedAtMs } = runner;
+    const successors = [
+      this.#runners.get(runnerId),
+      this.#byAddress.get(toAddress(runner)),
+    ];
+    // Without a time of its start, an entry may be the same incarnation's.
+    const isReplaced =
+      startedAtMs > 0 &&
+      successors.some((known) => known && known.startedAtMs > startedAtMs);
+    if (isReplaced) return "replaced";
+    return this.#departed.has(toIncarnationId(runner)) ? "removed" : "unknown";
+  }
+
   /** Lists the runners of a service that may receive requests. */
   listUsable(serviceId: string): readonly GatewayRunner[] {
     this.#removeOverdue();
@@ -152,6 +172,8 @@
     if (isNew) this.#pendingRemovals.delete(runnerId);
     else this.#pendingRemovals.cancelIfListed(runnerId, sighting.asOf);
     this.#runners.set(runnerId, runner);
+    this.#byAddress.set(toAddress(runner), runner);
+    this.#departed.delete(toIncarnationId(runner));
     this.#recordSighting(runnerId, sighting.asOf);
     this.#usable.clear();
     if (isNew)
@@ -225,7 +247,13 @@
       asOf: isLate ? { era, revision: 0 } : asOf,
       isConfirmed,
     });
+    // After an outage, the entry of a live runner may have expired.
+    if (runner.state === "leaving" && !this.#pendingRemovals.isInGrace)
+      this.#departed.add(incarnationId);
     this.#runners.delete(runner.runnerId);
+    const address = toAddress(runner);
+    if (this.#byAddress.get(address)?.runnerId === runner.runnerId)
+      this.#byAddress.delete(address);
     this.#sightedAsOf.delete(runner.runnerId);
     this.#usable.clear();
   }
@@ -249,3 +277,7 @@
     if (runner && news === "new") void this.events.emit("leaving", runner);
   }
 }
+
+function toAddress({ host, port }: GatewayRunner): string {
+  return `${host}:${port}`;
+}
