Hold bytes back in front of the parser instead of pausing it

Cause: for backpressure the gateway paused the HTTP client's parser. Where an answer closes its connection, the client finishes the parser on end, close and ECONNRESET and asserts that it is not paused; the assertion ends the process.

Change: HoldableSocket returns nothing to its reader while it is held, so that the parser never pauses; what is held stays in the socket and then at the runner. It is released at an answer's end, for the next request. A close by this side counts as a failure of the answer in progress: without a length, it looked like its end.

Ruled out: resuming the parser before each end: it can't be resumed once its socket is destroyed, which is so on a reset and on close.

--- a/packages/gateway/src/transport/http_connection.ts
+++ b/packages/gateway/src/transport/http_connection.ts
@@ -1,4 +1,3 @@
-import { connect as connectSocket, type Socket } from "node:net";
 import process from "node:process";
 import type { Dispatcher } from "undici";
 import Client from "undici/lib/dispatcher/client.js";
@@ -6,6 +5,7 @@
 import { describeError, monotonicMs } from "@jujubeladder/utils";
 import { CONNECT_TIMED_OUT } from "./connect_timed_out.js";
 import { hasPeerReset } from "./has_peer_reset.js";
+import { HoldableSocket } from "./holdable_socket.js";
 import type { ResponseSink } from "./response_sink.js";
 import type { Exchange } from "./exchange.js";
 
@@ -45,7 +45,7 @@
  */
 export class HttpConnection {
   readonly #client: Client;
-  readonly #socket: Socket;
+  readonly #socket: HoldableSocket;
   #idleSinceMs = monotonicMs();
   #hasFailed = false;
   #hasPeerEnded = false;
@@ -54,10 +54,10 @@
   #bytesReadBefore = 0;
   #current: Current | undefined;
 
-  private constructor(socket: Socket, endpoint: Endpoint) {
+  private constructor(socket: HoldableSocket, endpoint: Endpoint) {
     this.#socket = socket;
-    // Must run before the client's own listener, because the client treats a
-    // reset as the regular end of a response without a content length.
+    // These must run before the client's own listeners, because the client treats
+    // a reset as the regular end of a response without a content length.
     socket.on("error", (error) => {
       this.#hasFailed = true;
       this.#hasPeerEnded ||= hasPeerReset(error);
@@ -100,9 +100,10 @@
     endpoint: Endpoint,
     options: { readonly timeoutMs: number; readonly signal?: AbortSignal },
   ): Promise<Result<HttpConnection, string>> {
-    let socket: Socket;
+    const socket = new HoldableSocket();
     try {
-      socket = connectSocket({ ...endpoint, noDelay: true });
+      socket.connect(endpoint);
+      socket.setNoDelay(true);
     } catch (error) {
       // Such as a port out of range.
       return { ok: false, error: describeError(error) };
@@ -178,7 +179,6 @@
   ): Exchange {
     this.#sendCount += 1;
     this.#bytesBeforeSend = this.#socket.bytesWritten;
-    let controller: Dispatcher.DispatchController | undefined;
     let isDone = false;
     const end = (report: () => void) => {
       if (isDone) return;
@@ -186,6 +186,7 @@
       this.#idleSinceMs = monotonicMs();
       this.#bytesReadBefore += this.#newBytes;
       this.#current = undefined;
+      this.#socket.release();
       report();
     };
     const current: Current = {
@@ -207,16 +208,15 @@
       },
       {
         onRequestStart: (started) => {
-          controller = started;
           if (isDone) started.abort(new Error("cancelled"));
         },
         onResponseStart: (_controller, statusCode, headers) => {
           const isInformational = statusCode < STATUS_OK;
           if (!isDone && !isInformational) sink.onHead(statusCode, headers);
         },
-        onResponseData: (started, chunk) => {
+        onResponseData: (_controller, chunk) => {
           current.bodyBytes += chunk.length;
-          if (!isDone && !sink.onData(chunk)) started.pause();
+          if (!isDone && !sink.onData(chunk)) this.#socket.hold();
         },
         onResponseEnd: () => {
           end(() => {
@@ -232,7 +232,9 @@
       },
     );
     return {
-      resume: () => controller?.resume(),
+      resume: () => {
+        this.#socket.release();
+      },
       cancel: () => {
         isDone = true;
         this.close();
@@ -241,6 +243,8 @@
   }
 
   close(): void {
+    // A close by this side is no orderly end of an answer.
+    this.#hasFailed = true;
     // Destroying the socket aborts the connection, which the runner notices
     // even if it is not reading.
     this.#socket.destroy();
