Tell a reset from an orderly end of a connection

Cause: where bytes and a reset are read together, Node.js emits end and no error, as its event loop takes a hang-up behind a partial read for the end. The gateway took end without error for an orderly end.

Change: hasLostPeer asks for the peer's address on end, which the system no longer knows after a reset. HttpConnection and the product's SingleUseClient use it. The latter also called orderly ends broken (its own close counted as an error).

Ruled out: an error on shutdown (Node.js drops ENOTCONN), SO_ERROR (not offered), reading on (Node.js stops at end). Not calling such answers whole at all would break off every whole one.

--- a/packages/gateway/src/transport/http_connection.ts
+++ b/packages/gateway/src/transport/http_connection.ts
@@ -2,7 +2,7 @@
 import type { Dispatcher } from "undici";
 import Client from "undici/lib/dispatcher/client.js";
 import type { Result } from "@jujubeladder/types";
-import { describeError, monotonicMs } from "@jujubeladder/utils";
+import { describeError, hasLostPeer, monotonicMs } from "@jujubeladder/utils";
 import { CONNECT_TIMED_OUT } from "./connect_timed_out.js";
 import { hasPeerReset } from "./has_peer_reset.js";
 import { HoldableSocket } from "./holdable_socket.js";
@@ -63,6 +63,7 @@
       this.#hasPeerEnded ||= hasPeerReset(error);
     });
     socket.on("end", () => {
+      this.#hasFailed ||= hasLostPeer(socket);
       this.#hasPeerEnded = true;
     });
     let isConnected = false;
--- a/packages/upstream/src/single_use_client.ts
+++ b/packages/upstream/src/single_use_client.ts
@@ -1,5 +1,6 @@
 import type { Socket } from "node:net";
 import { buildConnector, Client, type Dispatcher } from "undici";
+import { hasLostPeer } from "@jujubeladder/utils";
 import type { SingleUseResponse } from "./single_use_response.js";
 
 const CONNECT_TIMEOUT_MS = 1_000;
@@ -30,6 +31,7 @@
   readonly #limits: ResponseLimits;
   #socket: Socket | undefined;
   #socketError: Error | undefined;
+  #hasOrderlyEnd = false;
   #timer: NodeJS.Timeout | undefined;
   #bodyBytes = 0;
 
@@ -82,7 +84,8 @@
       yield chunk;
     }
     // A body that ends with the connection looks whole after a reset, too.
-    if (isEndAmbiguous && this.#socketError) throw this.#socketError;
+    if (isEndAmbiguous && !this.#hasOrderlyEnd)
+      throw this.#socketError ?? new Error("the connection was reset");
   }
 
   #watch(socket: Socket): void {
@@ -90,6 +93,9 @@
     socket.once("error", (error) => {
       this.#socketError = error;
     });
+    socket.once("end", () => {
+      this.#hasOrderlyEnd = !this.#socketError && !hasLostPeer(socket);
+    });
     socket.on("readable", () => {
       const overheadBytes = socket.bytesRead - this.#bodyBytes;
       const maxBytes =
--- a/packages/utils/src/mod.ts
+++ b/packages/utils/src/mod.ts
@@ -8,6 +8,7 @@
 export { Deadline } from "./deadline.js";
 export { describeError } from "./describe_error.js";
 export { maxElapsedMs } from "./max_elapsed_ms.js";
+export { hasLostPeer } from "./has_lost_peer.js";
 export { hash32 } from "./hash32.js";
 export { sha256Hex } from "./sha256_hex.js";
 export { monotonicMs } from "./monotonic_ms.js";
