Frame every answer, so that the end of this process shows

Cause: such answers were passed on without a frame of our own, so that the end of our connection marked a whole answer.

Change: every answer has a length or comes in chunks; HTTP/1.0, which has no chunks, gets a stream with a length once it has ended.

Ruled out: asking /-/report for the run (plain services have none; a run that broke off is missing there, too).

--- a/packages/gateway/src/model/runner_response.ts
+++ b/packages/gateway/src/model/runner_response.ts
@@ -15,10 +15,7 @@
   readonly isEventStream: boolean;
   /** The runner closes the connection, often because it is leaving. */
   readonly isClosing: boolean;
-  /**
-   * The body is delimited only by the end of the connection, so a truncated
-   * body can't be distinguished from a complete one.
-   */
+  /** Only the end of the connection delimits the body. */
   readonly endsWithConnection: boolean;
   /** Keep-alive timeout of an idle connection, if the runner states one. */
   readonly keepAliveMs?: number | undefined;
--- a/packages/gateway/src/relay/caller_response.ts
+++ b/packages/gateway/src/relay/caller_response.ts
@@ -7,15 +7,10 @@
   /** The head has been sent; only body data may follow. */
   readonly isHeadSent: boolean;
   /**
-   * Sends the head; `headers` alternates names and values. With
-   * `endsWithConnection` the body is delimited only by the end of the
-   * connection; see `RunnerResponse`.
+   * Sends the head; `headers` alternates names and values. The body has a framing
+   * of its own, so that any early end of the connection shows.
    */
-  sendHead(
-    statusCode: number,
-    headers: readonly string[],
-    options?: { readonly endsWithConnection: boolean },
-  ): void;
+  sendHead(statusCode: number, headers: readonly string[]): void;
   /** Returns false if the write buffer is full; see `onDrain`. */
   write(chunk: Uint8Array): boolean;
   /** Calls `resume` once when the write buffer has drained. */
--- a/packages/gateway/src/relay/deliver_answer.ts
+++ b/packages/gateway/src/relay/deliver_answer.ts
@@ -12,15 +12,8 @@
     return { type: "cut", reason: `status ${head.statusCode} in mid-stream` };
   }
   const hasBody = request.method !== "HEAD" && head.statusCode !== 204;
-  const length =
-    hasBody && !head.endsWithConnection
-      ? ["content-length", String(body.length)]
-      : [];
-  response.sendHead(
-    head.statusCode,
-    [...head.forwardedHeaders, ...length],
-    head,
-  );
+  const length = hasBody ? ["content-length", String(body.length)] : [];
+  response.sendHead(head.statusCode, [...head.forwardedHeaders, ...length]);
   response.end(body);
   return { type: "delivered", statusCode: head.statusCode };
 }
--- a/packages/gateway/src/relay/request_relay.ts
+++ b/packages/gateway/src/relay/request_relay.ts
@@ -19,6 +19,7 @@
 import type { AttemptOutcome } from "./attempt_outcome.js";
 import type { FinalOutcome } from "./final_outcome.js";
 import type { InterruptedRequest } from "./interrupted_request.js";
+import type { EndChecker } from "./end_checker.js";
 import { deliverAnswer } from "./deliver_answer.js";
 import { logAttempt } from "./log_attempt.js";
 import { mayRetry } from "./may_retry.js";
@@ -28,7 +29,6 @@
 import type { RelayProgress } from "./relay_progress.js";
 import type { RequestContext } from "./request_context.js";
 import { recordUnexecuted } from "./record_unexecuted.js";
-import { rejectAmbiguousEnd } from "./reject_ambiguous_end.js";
 import { remainingMs } from "./remaining_ms.js";
 import { runAttempt } from "./run_attempt.js";
 import type { RetryBooker } from "./retry_booker.js";
@@ -74,6 +74,7 @@
   readonly quarantine: Quarantine;
   readonly partQuarantine: PartQuarantine;
   readonly partEvidence: PartEvidenceRecorder;
+  readonly endChecker: EndChecker;
   readonly checkForCrash: (
     runner: GatewayRunner,
     request: InterruptedRequest,
@@ -360,7 +361,13 @@
         !context.response.disconnectSignal.aborted;
       const outcome = isGivenUp
         ? ({ type: "given_up" } as const)
-        : rejectAmbiguousEnd(received, migration);
+        : await this.#dependencies.endChecker.check(received, {
+            requestId: request.requestId,
+            runner,
+            connection: ended,
+            migration,
+            maxWaitMs: remainingMs(context),
+          });
       progress.lastConnection = ended;
       // It began at some time since it was sent.
       if (outcome.type === "answered" && isSuccess(outcome.head))
@@ -432,11 +439,8 @@
         return undefined;
       case "streamed":
         this.#recordSuccess(context, runner);
-        if (session?.end(outcome.head)) {
-          return { type: "delivered", statusCode: 200 };
-        }
-        context.response.abort();
-        return { type: "cut", reason: "the last run may not be whole" };
+        session?.end();
+        return { type: "delivered", statusCode: 200 };
       case "answered": {
         const isFailure = outcome.head.statusCode >= 500;
         if (!isFailure) this.#recordSuccess(context, runner);
--- a/packages/gateway/src/relay/stream_session.ts
+++ b/packages/gateway/src/relay/stream_session.ts
@@ -114,18 +114,11 @@
     this.#response.onDrain(resume);
   }
 
-  /**
-   * Ends the response, also of a stream without events. Returns false without
-   * ending it if the last run's end cannot be distinguished from a connection
-   * failure and the caller would take the stream for complete.
-   */
-  end(lastHead: RunnerResponse | undefined): boolean {
-    const isEndAmbiguous = lastHead?.endsWithConnection ?? false;
-    if (isEndAmbiguous && !this.#head?.endsWithConnection) return false;
+  /** Ends the response, also of a stream without events. */
+  end(): void {
     this.#recordSurvival(monotonicMs());
     this.#sendHeadOnce();
     this.#response.end();
-    return true;
   }
 
   #recordSurvival(nowMs: number): void {
@@ -137,7 +130,7 @@
   #sendHeadOnce(): void {
     if (this.#response.isHeadSent || !this.#head) return;
     const { statusCode, forwardedHeaders } = this.#head;
-    this.#response.sendHead(statusCode, forwardedHeaders, this.#head);
+    this.#response.sendHead(statusCode, forwardedHeaders);
   }
 
   #recordOutput(): void {
--- a/packages/gateway/src/server/gateway_instance.ts
+++ b/packages/gateway/src/server/gateway_instance.ts
@@ -33,6 +33,7 @@
 import { PlacementScheduler } from "../relay/placement_scheduler.js";
 import { RequestRelay } from "../relay/request_relay.js";
 import { RetryBooker } from "../relay/retry_booker.js";
+import { EndChecker } from "../relay/end_checker.js";
 import { RunMigrator } from "../relay/run_migrator.js";
 import { RunnerNotices } from "../relay/runner_notices.js";
 import { ConnectionPool } from "../transport/connection_pool.js";
@@ -219,6 +220,7 @@
       quarantine,
       partQuarantine,
       partEvidence,
+      endChecker: new EndChecker(logger),
       checkForCrash: (runner, request) => {
         crashDetector.checkForCrash(runner, request);
       },
--- a/packages/gateway/src/server/http_caller_response.ts
+++ b/packages/gateway/src/server/http_caller_response.ts
@@ -1,7 +1,25 @@
 import type { ServerResponse } from "node:http";
 import type { CallerResponse } from "../relay/caller_response.js";
 
-/** Response to a caller over HTTP. */
+/** Limit of a body that a caller without chunked encoding gets at once. */
+const MAX_COLLECTED_BYTES = 8 * 1_048_576;
+const CONTENT_LENGTH = "content-length";
+/** Statuses of responses that have no body. */
+const BODILESS: ReadonlySet<number> = new Set([204, 304]);
+
+/** A response that is sent once its length is known. */
+interface Collected {
+  readonly statusCode: number;
+  readonly headers: readonly string[];
+  readonly chunks: Uint8Array[];
+  byteCount: number;
+}
+
+/**
+ * Response to a caller over HTTP. Its body has a length or comes in chunks, so
+ * that a connection that ends early, also with this process, never looks like the
+ * end of the body.
+ */
 export class HttpCallerResponse implements CallerResponse {
   readonly #response: ServerResponse;
   readonly #disconnected = new AbortController();
@@ -9,7 +27,7 @@
   readonly #isClosing: () => boolean;
   /** Resolves once the response has been sent or its connection is closed. */
   readonly closed: Promise<void>;
-  #endsWithConnection = false;
+  #collected: Collected | undefined;
 
   /** If `isClosing` returns true, the response asks to close the connection. */
   constructor(response: ServerResponse, isClosing: () => boolean) {
@@ -40,24 +58,27 @@
   }
 
   get isHeadSent(): boolean {
-    return this.#response.headersSent;
+    return this.#response.headersSent || this.#collected !== undefined;
   }
 
-  sendHead(
-    statusCode: number,
-    headers: readonly string[],
-    options = { endsWithConnection: false },
-  ): void {
-    const { endsWithConnection } = options;
-    this.#endsWithConnection = endsWithConnection;
-    if (endsWithConnection) this.#response.useChunkedEncodingByDefault = false;
-    const isLast = endsWithConnection || this.#isClosing();
-    const close = isLast ? ["connection", "close"] : [];
-    this.#response.writeHead(statusCode, [...headers, ...close]);
+  sendHead(statusCode: number, headers: readonly string[]): void {
+    const hasLength = headers.some(
+      (name, n) => n % 2 === 0 && name.toLowerCase() === CONTENT_LENGTH,
+    );
+    const { httpVersion, method } = this.#response.req;
+    const hasBody = method !== "HEAD" && !BODILESS.has(statusCode);
+    if (httpVersion === "1.0" && hasBody && !hasLength)
+      this.#collected = { statusCode, headers, chunks: [], byteCount: 0 };
+    else this.#writeHead(statusCode, headers);
   }
 
   write(chunk: Uint8Array): boolean {
-    return this.#response.write(chunk);
+    const collected = this.#collected;
+    if (!collected) return this.#response.write(chunk);
+    collected.chunks.push(chunk);
+    collected.byteCount += chunk.byteLength;
+    if (collected.byteCount > MAX_COLLECTED_BYTES) this.abort();
+    return true;
   }
 
   onDrain(resume: () => void): void {
@@ -65,7 +86,14 @@
   }
 
   end(chunk?: Uint8Array): void {
-    if (chunk) this.#response.end(chunk);
+    const collected = this.#collected;
+    if (collected) {
+      if (chunk) this.write(chunk);
+      const { statusCode, headers, chunks, byteCount } = collected;
+      const length = [CONTENT_LENGTH, String(byteCount)];
+      this.#writeHead(statusCode, [...headers, ...length]);
+      this.#response.end(Buffer.concat(chunks));
+    } else if (chunk) this.#response.end(chunk);
     else this.#response.end();
   }
 
@@ -75,11 +103,14 @@
   }
 
   abort(): void {
-    // Without a content length, an orderly close would mark a complete body.
-    if (this.#endsWithConnection) this.#response.socket?.resetAndDestroy();
     this.#response.destroy();
   }
 
+  #writeHead(statusCode: number, headers: readonly string[]): void {
+    const close = this.#isClosing() ? ["connection", "close"] : [];
+    this.#response.writeHead(statusCode, [...headers, ...close]);
+  }
+
   #disconnect(): void {
     this.#disconnected.abort();
     this.#cancelled.abort();
