Hold a body's sender up without pausing the parser in the product, too

Callers would see: a body that is read slowly and has no length, or whose answer closes its connection, ends the product's daemon with an assertion once its runner ends or resets the connection (trial with 4 pieces of 64 KiB and a reader that takes 100 ms a piece: AssertionError at the end and at the reset).

Change: ResponseBody queues up to 64 KiB and holds the socket in front of the parser, as the gateway does; HoldableSocket moves to the utilities. The limit of silence is its own timer, which doesn't run while the reader holds the sender up.

--- a/packages/gateway/src/transport/http_connection.ts
+++ b/packages/gateway/src/transport/http_connection.ts
@@ -2,10 +2,14 @@
 import type { Dispatcher } from "undici";
 import Client from "undici/lib/dispatcher/client.js";
 import type { Result } from "@jujubeladder/types";
-import { describeError, hasLostPeer, monotonicMs } from "@jujubeladder/utils";
+import {
+  describeError,
+  hasLostPeer,
+  HoldableSocket,
+  monotonicMs,
+} from "@jujubeladder/utils";
 import { CONNECT_TIMED_OUT } from "./connect_timed_out.js";
 import { hasPeerReset } from "./has_peer_reset.js";
-import { HoldableSocket } from "./holdable_socket.js";
 import type { ResponseSink } from "./response_sink.js";
 import type { Exchange } from "./exchange.js";
 
--- a/packages/upstream/src/single_use_client.ts
+++ b/packages/upstream/src/single_use_client.ts
@@ -1,8 +1,10 @@
 import type { Socket } from "node:net";
-import { buildConnector, Client, type Dispatcher } from "undici";
-import { hasLostPeer } from "@jujubeladder/utils";
+import { Client, type Dispatcher, errors } from "undici";
+import { hasLostPeer, HoldableSocket } from "@jujubeladder/utils";
+import { ResponseBody } from "./response_body.js";
 import type { SingleUseResponse } from "./single_use_response.js";
 
+const STATUS_OK = 200;
 const CONNECT_TIMEOUT_MS = 1_000;
 /** The client's own timers, which end a silent wait first, are this coarse. */
 const TIMER_RESOLUTION_MS = 1_000;
@@ -29,7 +31,7 @@
 export class SingleUseClient {
   readonly #client: Client;
   readonly #limits: ResponseLimits;
-  #socket: Socket | undefined;
+  #socket: HoldableSocket | undefined;
   #socketError: Error | undefined;
   #hasOrderlyEnd = false;
   #timer: NodeJS.Timeout | undefined;
@@ -37,16 +39,13 @@
 
   constructor(origin: string, limits: ResponseLimits) {
     this.#limits = limits;
-    const connect = buildConnector({ timeout: CONNECT_TIMEOUT_MS });
     this.#client = new Client(origin, {
       headersTimeout: limits.headTimeoutMs,
-      bodyTimeout: limits.silenceMs,
+      // The body has a timer of its own, as a held sender may be silent.
+      bodyTimeout: 0,
       pipelining: 1,
-      connect: (target, callback) => {
-        connect(target, (...result) => {
-          if (result[0] === null) this.#watch(result[1]);
-          callback(...result);
-        });
+      connect: ({ hostname, port }, callback) => {
+        this.#connect({ host: hostname, port: Number(port) }, callback);
       },
     });
   }
@@ -59,15 +58,17 @@
   async request(
     options: Dispatcher.RequestOptions,
   ): Promise<SingleUseResponse> {
-    const response = await this.#client.request(options);
-    const { statusCode, headers } = response;
+    const { statusCode, headers, body } = await this.#dispatch(options);
     const { bodyTimeoutMs } = this.#limits;
     this.#clearTimer();
     if (bodyTimeoutMs !== undefined) {
       this.#failAfter(bodyTimeoutMs, "the body did not end in time");
     }
-    const body = this.#readBody(response.body, endsWithConnection(headers));
-    return { statusCode, headers, body };
+    return {
+      statusCode,
+      headers,
+      body: this.#readBody(body, endsWithConnection(headers)),
+    };
   }
 
   close(): void {
@@ -88,7 +89,77 @@
       throw this.#socketError ?? new Error("the connection was reset");
   }
 
-  #watch(socket: Socket): void {
+  async #dispatch(
+    options: Dispatcher.RequestOptions,
+  ): Promise<SingleUseResponse> {
+    const { signal, ...request } = options;
+    const abortSignal = signal instanceof AbortSignal ? signal : undefined;
+    return await new Promise((resolve, reject) => {
+      let body: ResponseBody | undefined;
+      const fail = (error: Error) => {
+        abortSignal?.removeEventListener("abort", onAbort);
+        if (body) body.end(error);
+        else reject(error);
+      };
+      const onAbort = () => {
+        fail(new errors.RequestAbortedError());
+        this.close();
+      };
+      if (abortSignal?.aborted) {
+        onAbort();
+        return;
+      }
+      abortSignal?.addEventListener("abort", onAbort, { once: true });
+      this.#client.dispatch(request as Dispatcher.DispatchOptions, {
+        // Marks a handler of the client's current form.
+        onRequestStart: () => undefined,
+        onResponseStart: (_controller, statusCode, headers) => {
+          if (statusCode < STATUS_OK) return;
+          const flow = {
+            hold: () => this.#socket?.hold(),
+            release: () => this.#socket?.release(),
+          };
+          body = new ResponseBody(flow, this.#limits.silenceMs);
+          resolve({ statusCode, headers, body });
+        },
+        onResponseData: (_controller, chunk) => {
+          body?.push(chunk);
+        },
+        onResponseEnd: () => {
+          abortSignal?.removeEventListener("abort", onAbort);
+          body?.end();
+        },
+        onResponseError: (_controller, error) => {
+          fail(error);
+        },
+      });
+    });
+  }
+
+  #connect(
+    endpoint: { readonly host: string; readonly port: number },
+    callback: (...result: [Error, null] | [null, Socket]) => void,
+  ): void {
+    const socket = new HoldableSocket();
+    const timer = setTimeout(() => {
+      socket.destroy(new errors.ConnectTimeoutError());
+    }, CONNECT_TIMEOUT_MS);
+    const onError = (error: Error) => {
+      clearTimeout(timer);
+      callback(error, null);
+    };
+    socket.once("error", onError);
+    socket.once("connect", () => {
+      clearTimeout(timer);
+      socket.off("error", onError);
+      this.#watch(socket);
+      callback(null, socket);
+    });
+    socket.setNoDelay(true);
+    socket.connect(endpoint);
+  }
+
+  #watch(socket: HoldableSocket): void {
     this.#socket = socket;
     socket.once("error", (error) => {
       this.#socketError = error;
--- a/packages/utils/src/mod.ts
+++ b/packages/utils/src/mod.ts
@@ -7,6 +7,7 @@
 export { createId } from "./create_id.js";
 export { Deadline } from "./deadline.js";
 export { describeError } from "./describe_error.js";
+export { HoldableSocket } from "./holdable_socket.js";
 export { maxElapsedMs } from "./max_elapsed_ms.js";
 export { hasLostPeer } from "./has_lost_peer.js";
 export { hash32 } from "./hash32.js";
