--- a/packages/gateway/src/__tests__/judge_connection_end.test.ts
+++ b/packages/gateway/src/__tests__/judge_connection_end.test.ts
@@ -1,9 +1,7 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import {
-  judgeConnectionEnd,
-  type RunnerContact,
-} from "../decisions/judge_connection_end.js";
+import { judgeConnectionEnd } from "../decisions/judge_connection_end.js";
+import type { RunnerContact } from "../decisions/runner_contact.js";
 
 const CONTACTS: readonly RunnerContact[] = ["accepted", "refused", "silent"];
 
--- a/packages/gateway/src/decisions/judge_connection_end.ts
+++ b/packages/gateway/src/decisions/judge_connection_end.ts
@@ -1,5 +1,4 @@
-/** Whether a runner's port took a connection just after an answer had ended. */
-export type RunnerContact = "accepted" | "refused" | "silent";
+import type { RunnerContact } from "./runner_contact.js";
 
 /**
  * Decides whether an answer is whole of which only the orderly end of its
--- a/packages/gateway/src/relay/end_checker.ts
+++ b/packages/gateway/src/relay/end_checker.ts
@@ -1,9 +1,7 @@
 import type { Logger } from "@jujubeladder/logger";
 import { sleep } from "@jujubeladder/utils";
-import {
-  judgeConnectionEnd,
-  type RunnerContact,
-} from "../decisions/judge_connection_end.js";
+import { judgeConnectionEnd } from "../decisions/judge_connection_end.js";
+import type { RunnerContact } from "../decisions/runner_contact.js";
 import type { GatewayRunner } from "../model/gateway_runner.js";
 import { HttpConnection } from "../transport/http_connection.js";
 import type { AttemptConnection } from "./attempt_connection.js";
