Keep the default port and the probes of a single-use connection

Cause: connects the socket itself, where the library's connector had put in port 80, which an origin leaves out, and probes of an idle connection after 60 s. Found on reading the diff; no caller met it. Ruled out: other defaults of that connector, which are the system's. Change: both are set as before. Measured: held_bodies 8, reset_bodies 4, endless_bytes 20 pass.

--- a/packages/upstream/src/single_use_client.ts
+++ b/packages/upstream/src/single_use_client.ts
@@ -5,6 +5,10 @@
 import type { SingleUseResponse } from "./single_use_response.js";
 
 const STATUS_OK = 200;
+/** An origin leaves it out. */
+const HTTP_PORT = 80;
+/** Idle time before TCP keep-alive probes. */
+const TCP_PROBE_DELAY_MS = 60_000;
 const CONNECT_TIMEOUT_MS = 1_000;
 /** The client's own timers, which end a silent wait first, are this coarse. */
 const TIMER_RESOLUTION_MS = 1_000;
@@ -45,7 +49,8 @@
       bodyTimeout: 0,
       pipelining: 1,
       connect: ({ hostname, port }, callback) => {
-        this.#connect({ host: hostname, port: Number(port) }, callback);
+        const endpoint = { host: hostname, port: Number(port || HTTP_PORT) };
+        this.#connect(endpoint, callback);
       },
     });
   }
@@ -156,6 +161,7 @@
       callback(null, socket);
     });
     socket.setNoDelay(true);
+    socket.setKeepAlive(true, TCP_PROBE_DELAY_MS);
     socket.connect(endpoint);
   }
 
