Order a stop for as long as the caller waits, whatever the count

Callers would see: with a latency target above 1.8 s, a stream that waits for the proof of a stop gets no further order after 7 s, though its caller bears more. Cause: limited the orders to 16, which fits the gap of one data sheet. Change: the wait alone ends the orders; their pauses of up to 500 ms bound the rate. The exploration holds that one order at a time is out, that pauses don't shrink and lie within 100 to 500 ms, and keeps the bound of four orders while the stream is open and of 30 other actions; run_migration bounds the orders by the time waited. Found on reading.

--- a/packages/gateway/src/decisions/advance_migration.ts
+++ b/packages/gateway/src/decisions/advance_migration.ts
@@ -15,11 +15,6 @@
 const MAX_ATTEMPTS = 17;
 /** Orders to stop a run whose stream is open. */
 const MAX_STOP_ORDERS = 4;
-/**
- * Orders to stop a run whose stream is lost. With the pauses between them they
- * span the longest gap in a stream that callers bear.
- */
-const MAX_CONFIRM_ORDERS = 16;
 /** Pause before a final copy that failed is ordered again. */
 const STOP_PAUSE_MS = 100;
 /** Limit of that pause, which doubles once the stream is lost. */
@@ -188,13 +183,15 @@
         }
       : { state: { ...before, failedStops, isAsking: false } };
   }
-  const state = { ...before, failedStops, contact };
-  if (failedStops >= MAX_CONFIRM_ORDERS) return { state };
+  // The caller's patience ends these orders, see `confirm_timed_out`.
   const pauseMs = Math.min(
     MAX_STOP_PAUSE_MS,
     STOP_PAUSE_MS * 2 ** (failedStops - 1),
   );
-  return { state, action: { type: "copy_final_later", target, pauseMs } };
+  return {
+    state: { ...before, failedStops, contact },
+    action: { type: "copy_final_later", target, pauseMs },
+  };
 }
 
 function endIfProcessEnded(
