Tell an ambiguous end by the connection, not by the answer's head

Callers would see: an answer with 'Transfer-Encoding: identity' whose runner is killed in its body came as a whole 200. Cause: looked after the runner only if the head has neither a length nor a transfer encoding; any encoding but chunks ends with the connection, too. Evidence: 'a plain answer without a length whose runner was killed is not whole (transfer-encoding: identity)' fails on and passes with this change. Change: an answer that its framing ends is whole before the end of its connection is read, so that this tells the two apart; endsWithConnection is gone from the model. Ruled out: the product's client, which asks for chunks as the last encoding. Found on reading.

--- a/packages/gateway/src/model/runner_response.ts
+++ b/packages/gateway/src/model/runner_response.ts
@@ -15,8 +15,6 @@
   readonly isEventStream: boolean;
   /** The runner closes the connection, often because it is leaving. */
   readonly isClosing: boolean;
-  /** Only the end of the connection delimits the body. */
-  readonly endsWithConnection: boolean;
   /** Keep-alive timeout of an idle connection, if the runner states one. */
   readonly keepAliveMs?: number | undefined;
   /** Headers to forward to the caller: names and values, alternating. */
--- a/packages/gateway/src/relay/end_checker.ts
+++ b/packages/gateway/src/relay/end_checker.ts
@@ -38,10 +38,8 @@
   ): Promise<AttemptOutcome> {
     if (outcome.type !== "answered" && outcome.type !== "streamed")
       return outcome;
-    const isFramed =
-      !outcome.head.endsWithConnection ||
-      attempt.connection.endedBy !== "runner";
-    if (isFramed) return outcome;
+    // What a framing ends is whole before the connection's end is read.
+    if (attempt.connection.endedBy !== "runner") return outcome;
     const contact = await probe(attempt.runner, attempt.maxWaitMs);
     const mayHaveStopped = attempt.migration?.mayHaveStopped === true;
     const reason = judgeConnectionEnd({ mayHaveStopped, contact });
