Look after a plain service whose answer only its connection ends

Callers would see: in the product's own interface, half of an answer of a service that was killed came as a completed one. Cause: that of, in the other interface: the system ends the connections of a process that is killed in an orderly way. Change: PlainServiceClient tries the service's port; closed or silent, the outcome is unknown, so that the call may have run. probePort is shared with the gateway. Ruled out: engines, whose streams name their end; control calls and the platform's documents, which are JSON and don't parse in half.

--- a/packages/gateway/src/__tests__/judge_connection_end.test.ts
+++ b/packages/gateway/src/__tests__/judge_connection_end.test.ts
@@ -1,9 +1,9 @@
+import type { PortContact } from "@jujubeladder/utils";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import { judgeConnectionEnd } from "../decisions/judge_connection_end.js";
-import type { RunnerContact } from "../decisions/runner_contact.js";
 
-const CONTACTS: readonly RunnerContact[] = ["accepted", "refused", "silent"];
+const CONTACTS: readonly PortContact[] = ["accepted", "refused", "silent"];
 
 test("an answer that its connection ends is whole only by a live runner that was not told to stop", () => {
   for (const contact of CONTACTS) {
--- a/packages/gateway/src/decisions/judge_connection_end.ts
+++ b/packages/gateway/src/decisions/judge_connection_end.ts
@@ -1,4 +1,4 @@
-import type { RunnerContact } from "./runner_contact.js";
+import type { PortContact } from "@jujubeladder/utils";
 
 /**
  * Decides whether an answer is whole of which only the orderly end of its
@@ -8,7 +8,8 @@
 export function judgeConnectionEnd(end: {
   /** An order to stop the run was on its way, which ends its stream early. */
   readonly mayHaveStopped: boolean;
-  readonly contact: RunnerContact;
+  /** What the runner's port did just after the end. */
+  readonly contact: PortContact;
 }): string | undefined {
   if (end.mayHaveStopped) return "the connection ended while the run moved";
   switch (end.contact) {
--- a/packages/upstream/src/plain_service_client.ts
+++ b/packages/upstream/src/plain_service_client.ts
@@ -1,4 +1,9 @@
-import { ByteBudget, describeError, parseJson } from "@jujubeladder/utils";
+import {
+  ByteBudget,
+  describeError,
+  parseJson,
+  probePort,
+} from "@jujubeladder/utils";
 import type { PlainOutcome } from "./plain_outcome.js";
 import { readBody } from "./read_body.js";
 import { readRefusal } from "./read_refusal.js";
@@ -88,6 +93,14 @@
         id: call.requestId,
       });
       if (refusal) return refusal;
+      // A process that is killed ends its connections like one that is done.
+      if (
+        response.endsWithConnection &&
+        (await probePort(this.#address)) !== "accepted"
+      ) {
+        const reason = "the connection ended with the runner's process";
+        return { type: "unknown", reason };
+      }
       const contentType = response.headers["content-type"];
       return {
         type: "answered",
--- a/packages/upstream/src/single_use_client.ts
+++ b/packages/upstream/src/single_use_client.ts
@@ -64,6 +64,7 @@
     options: Dispatcher.RequestOptions,
   ): Promise<SingleUseResponse> {
     const { statusCode, headers, body } = await this.#dispatch(options);
+    const isEndAmbiguous = endsWithConnection(headers);
     const { bodyTimeoutMs } = this.#limits;
     this.#clearTimer();
     if (bodyTimeoutMs !== undefined) {
@@ -72,7 +73,8 @@
     return {
       statusCode,
       headers,
-      body: this.#readBody(body, endsWithConnection(headers)),
+      body: this.#readBody(body, isEndAmbiguous),
+      endsWithConnection: isEndAmbiguous,
     };
   }
 
@@ -96,7 +98,7 @@
 
   async #dispatch(
     options: Dispatcher.RequestOptions,
-  ): Promise<SingleUseResponse> {
+  ): Promise<Omit<SingleUseResponse, "endsWithConnection">> {
     const { signal, ...request } = options;
     const abortSignal = signal instanceof AbortSignal ? signal : undefined;
     return await new Promise((resolve, reject) => {
--- a/packages/utils/src/mod.ts
+++ b/packages/utils/src/mod.ts
@@ -14,6 +14,8 @@
 export { sha256Hex } from "./sha256_hex.js";
 export { monotonicMs } from "./monotonic_ms.js";
 export { parseJson } from "./parse_json.js";
+export type { PortContact } from "./port_contact.js";
+export { probePort } from "./probe_port.js";
 export { rankByRendezvous } from "./rank_by_rendezvous.js";
 export { RendezvousOrder } from "./rendezvous_order.js";
 export { readClocks } from "./read_clocks.js";
