--- a/packages/gateway/src/__tests__/held_exchange.test.ts
+++ b/packages/gateway/src/__tests__/held_exchange.test.ts
@@ -1,9 +1,9 @@
-import { once } from "node:events";
-import { createServer, type AddressInfo, type Socket } from "node:net";
+import type { Socket } from "node:net";
 import { sleep } from "@jujubeladder/utils";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import { HttpConnection } from "../transport/http_connection.js";
+import type { HttpConnection } from "../transport/http_connection.js";
+import { connectToRawServer } from "./connect_to_raw_server.js";
 
 const BODY = "x".repeat(1_000);
 const HEAD = "HTTP/1.1 200 OK\r\n";
@@ -29,33 +29,13 @@
 };
 const PAUSE_MS = 30;
 
-async function connectTo(
-  onRequest: (socket: Socket) => void,
-): Promise<{ connection: HttpConnection; stop: () => void }> {
-  const server = createServer((socket) => {
-    socket.on("error", () => undefined);
-    socket.on("data", () => {
-      onRequest(socket);
-    });
-  });
-  server.listen(0, "127.0.0.1");
-  await once(server, "listening");
-  const { port } = server.address() as AddressInfo;
-  const opened = await HttpConnection.open(
-    { host: "127.0.0.1", port },
-    { timeoutMs: 1_000 },
-  );
-  if (!opened.ok) throw new Error(opened.error);
-  return { connection: opened.value, stop: () => server.close() };
-}
-
 const REQUEST = { method: "GET", target: "/", headers: [], body: null };
 
 for (const [answer, head] of Object.entries(ANSWERS)) {
   for (const [how, end] of Object.entries(ENDS)) {
     test(`an exchange whose reader pauses ends without an exception: ${answer}, ${how}`, async () => {
       let socket: Socket | undefined;
-      const { connection, stop } = await connectTo((opened) => {
+      const { connection, stop } = await connectToRawServer((opened) => {
         socket = opened;
         opened.write(head + BODY);
       });
@@ -90,7 +70,7 @@
 
 test("bytes that arrive while the reader pauses are read in order after it", async () => {
   const parts = Array.from({ length: 50 }, (_, n) => `${n};`.repeat(500));
-  const { connection, stop } = await connectTo((socket) => {
+  const { connection, stop } = await connectToRawServer((socket) => {
     socket.write(`${HEAD}transfer-encoding: chunked\r\n\r\n`);
     for (const part of parts)
       socket.write(`${part.length.toString(16)}\r\n${part}\r\n`);
@@ -117,7 +97,7 @@
 });
 
 test("a connection whose reader paused at the answer's end serves the next request", async () => {
-  const { connection, stop } = await connectTo((socket) => {
+  const { connection, stop } = await connectToRawServer((socket) => {
     socket.write(`${HEAD}content-length: ${BODY.length}\r\n\r\n${BODY}`);
   });
   for (let n = 0; n < 3; n += 1) {
@@ -144,7 +124,7 @@
 test("a reader that pauses holds up the runner", async () => {
   const total = 64 * 1_048_576;
   let socket: Socket | undefined;
-  const { connection, stop } = await connectTo((opened) => {
+  const { connection, stop } = await connectToRawServer((opened) => {
     socket = opened;
     opened.write(`${HEAD}content-length: ${total}\r\n\r\n`);
     opened.write(Buffer.alloc(total));
--- a/packages/gateway/src/__tests__/reset_answers.test.ts
+++ b/packages/gateway/src/__tests__/reset_answers.test.ts
@@ -1,9 +1,8 @@
-import { once } from "node:events";
-import { createServer, type AddressInfo, type Socket } from "node:net";
+import type { Socket } from "node:net";
 import { sleep } from "@jujubeladder/utils";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import { HttpConnection } from "../transport/http_connection.js";
+import { connectToRawServer } from "./connect_to_raw_server.js";
 import { stallProcess } from "./stall_process.js";
 
 const BODY = "x".repeat(800);
@@ -44,22 +43,13 @@
   moment: (typeof MOMENTS)[number],
   reader: (typeof READERS)[number],
 ): Promise<string> {
-  const server = createServer((socket) => {
-    socket.on("error", () => undefined);
-    socket.once("data", () => void send(socket, answer, moment));
+  const { connection, stop } = await connectToRawServer((socket) => {
+    void send(socket, answer, moment);
   });
-  server.listen(0, "127.0.0.1");
-  await once(server, "listening");
-  const { port } = server.address() as AddressInfo;
-  const opened = await HttpConnection.open(
-    { host: "127.0.0.1", port },
-    { timeoutMs: 1_000 },
-  );
-  if (!opened.ok) throw new Error(opened.error);
   const outcome = await new Promise<string>((resolve) => {
     let length = 0;
     const request = { method: "GET", target: "/", headers: [], body: null };
-    const exchange = opened.value.send(request, {
+    const exchange = connection.send(request, {
       onHead: () => {
         if (reader === "is held up") stallProcess(PAUSE_MS);
       },
@@ -79,8 +69,8 @@
       },
     });
   });
-  opened.value.close();
-  server.close();
+  connection.close();
+  stop();
   return outcome;
 }
 
--- a/packages/standins/src/raw_server.ts
+++ b/packages/standins/src/raw_server.ts
@@ -42,6 +42,11 @@
     return (this.#server.address() as AddressInfo).port;
   }
 
+  /** Closes the port; open connections go on. */
+  stopListening(): void {
+    this.#server.close();
+  }
+
   stop(): void {
     for (const socket of this.#sockets) socket.destroy();
     this.#server.close();
--- a/packages/upstream/src/__tests__/held_bodies.test.ts
+++ b/packages/upstream/src/__tests__/held_bodies.test.ts
@@ -1,5 +1,5 @@
-import { once } from "node:events";
-import { createServer, type AddressInfo, type Socket } from "node:net";
+import type { Socket } from "node:net";
+import { RawServer } from "@jujubeladder/standins";
 import { sleep } from "@jujubeladder/utils";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
@@ -23,13 +23,10 @@
   head: string,
   options: { readonly end: End; readonly closesEarly?: boolean },
 ): Promise<string> {
-  const server = createServer((socket) => {
-    socket.on("error", () => undefined);
-    socket.once("data", () => void send(socket, head, options.end));
+  const server = new RawServer((socket) => {
+    void send(socket, head, options.end);
   });
-  server.listen(0, "127.0.0.1");
-  await once(server, "listening");
-  const { port } = server.address() as AddressInfo;
+  const port = await server.start();
   const limits = { headTimeoutMs: 1_000, silenceMs: SILENCE_MS };
   const client = new SingleUseClient(`http://127.0.0.1:${port}`, limits);
   let length = 0;
@@ -46,7 +43,7 @@
   } finally {
     client.close();
     await sleep(READ_PAUSE_MS);
-    server.close();
+    server.stop();
   }
 }
 
@@ -82,15 +79,11 @@
 }
 
 test("a reader that takes longer than the allowed silence does not break a body", async () => {
-  const server = createServer((socket) => {
-    socket.once("data", () => {
-      socket.write(`${HEAD}content-length: ${LENGTH}\r\n\r\n`);
-      for (let n = 0; n < CHUNK_COUNT; n += 1) socket.write(CHUNK);
-    });
+  const server = new RawServer((socket) => {
+    socket.write(`${HEAD}content-length: ${LENGTH}\r\n\r\n`);
+    for (let n = 0; n < CHUNK_COUNT; n += 1) socket.write(CHUNK);
   });
-  server.listen(0, "127.0.0.1");
-  await once(server, "listening");
-  const { port } = server.address() as AddressInfo;
+  const port = await server.start();
   const limits = { headTimeoutMs: 1_000, silenceMs: SILENCE_MS };
   const client = new SingleUseClient(`http://127.0.0.1:${port}`, limits);
   const { body } = await client.request({ method: "GET", path: "/" });
@@ -101,18 +94,14 @@
   }
   assert.is(length, LENGTH);
   client.close();
-  server.close();
+  server.stop();
 });
 
 test("a body that falls silent breaks", async () => {
-  const server = createServer((socket) => {
-    socket.once("data", () => {
-      socket.write(`${HEAD}content-length: ${LENGTH}\r\n\r\nx`);
-    });
+  const server = new RawServer((socket) => {
+    socket.write(`${HEAD}content-length: ${LENGTH}\r\n\r\nx`);
   });
-  server.listen(0, "127.0.0.1");
-  await once(server, "listening");
-  const { port } = server.address() as AddressInfo;
+  const port = await server.start();
   const limits = { headTimeoutMs: 1_000, silenceMs: SILENCE_MS };
   const client = new SingleUseClient(`http://127.0.0.1:${port}`, limits);
   const startedAtMs = performance.now();
@@ -125,7 +114,7 @@
   }
   const tookMs = performance.now() - startedAtMs;
   client.close();
-  server.close();
+  server.stop();
   assert.is(code, "UND_ERR_BODY_TIMEOUT");
   assert.ok(tookMs >= SILENCE_MS - 1, `${tookMs} ms`);
 });
--- a/packages/upstream/src/__tests__/killed_services.test.ts
+++ b/packages/upstream/src/__tests__/killed_services.test.ts
@@ -1,5 +1,4 @@
-import { once } from "node:events";
-import { createServer, type AddressInfo } from "node:net";
+import { RawServer } from "@jujubeladder/standins";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import { PlainServiceClient } from "../plain_service_client.js";
@@ -13,16 +12,11 @@
 
 /** Calls a service that ends its connection, and its port if it is killed. */
 async function call(answer: string, isKilled: boolean): Promise<string> {
-  const server = createServer((socket) => {
-    socket.on("error", () => undefined);
-    socket.once("data", () => {
-      if (isKilled) server.close();
-      socket.end(answer);
-    });
+  const server = new RawServer((socket) => {
+    if (isKilled) server.stopListening();
+    socket.end(answer);
   });
-  server.listen(0, "127.0.0.1");
-  await once(server, "listening");
-  const { port } = server.address() as AddressInfo;
+  const port = await server.start();
   const client = new PlainServiceClient({ host: "127.0.0.1", port });
   const outcome = await client.call(
     {
@@ -34,7 +28,7 @@
     },
     { timeoutMs: 1_000 },
   );
-  if (!isKilled) server.close();
+  server.stop();
   return outcome.type;
 }
 
--- a/packages/upstream/src/__tests__/reset_bodies.test.ts
+++ b/packages/upstream/src/__tests__/reset_bodies.test.ts
@@ -1,5 +1,5 @@
-import { once } from "node:events";
-import { createServer, type AddressInfo, type Socket } from "node:net";
+import type { Socket } from "node:net";
+import { RawServer } from "@jujubeladder/standins";
 import { sleep } from "@jujubeladder/utils";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
@@ -25,16 +25,11 @@
 };
 
 async function read(text: string, end: End): Promise<string> {
-  const server = createServer((socket) => {
-    socket.on("error", () => undefined);
-    socket.once("data", () => {
-      socket.write(text);
-      void end(socket);
-    });
+  const server = new RawServer((socket) => {
+    socket.write(text);
+    void end(socket);
   });
-  server.listen(0, "127.0.0.1");
-  await once(server, "listening");
-  const { port } = server.address() as AddressInfo;
+  const port = await server.start();
   const client = new SingleUseClient(`http://127.0.0.1:${port}`, LIMITS);
   try {
     const { body } = await client.request({ method: "GET", path: "/" });
@@ -43,7 +38,7 @@
     return "broken";
   } finally {
     client.close();
-    server.close();
+    server.stop();
   }
 }
 
