Forget the address of a runner that starts anew at another

Cause: kept an entry for each address at which a runner had ever started, as only the last one was dropped with it: memory that grows with every restart. Change: the address of the start before is forgotten. Ruled out: an unbounded list of departed runners, which is cleared after a minute.

--- a/packages/gateway/src/views/runner_directory.ts
+++ b/packages/gateway/src/views/runner_directory.ts
@@ -171,6 +171,7 @@
     if (known && isNew) this.markLeaving(toIncarnationId(known), "replaced");
     if (isNew) this.#pendingRemovals.delete(runnerId);
     else this.#pendingRemovals.cancelIfListed(runnerId, sighting.asOf);
+    if (known) this.#forgetAddress(known);
     this.#runners.set(runnerId, runner);
     this.#byAddress.set(toAddress(runner), runner);
     this.#departed.delete(toIncarnationId(runner));
@@ -251,11 +252,15 @@
     if (runner.state === "leaving" && !this.#pendingRemovals.isInGrace)
       this.#departed.add(incarnationId);
     this.#runners.delete(runner.runnerId);
+    this.#forgetAddress(runner);
+    this.#sightedAsOf.delete(runner.runnerId);
+    this.#usable.clear();
+  }
+
+  #forgetAddress(runner: GatewayRunner): void {
     const address = toAddress(runner);
     if (this.#byAddress.get(address)?.runnerId === runner.runnerId)
       this.#byAddress.delete(address);
-    this.#sightedAsOf.delete(runner.runnerId);
-    this.#usable.clear();
   }
 
   #mark(incarnationId: string, evidence: LeavingEvidence): void {
