Review case 10: a version without tenants lets taken keys go on

The operator takes the only tenant away; its client's requests go on to be run later than revoke_ms after that, and so does any request without a key. admitRequest asks for a key only if the configuration has at least one tenant; an empty list counts as none.

--- /dev/null
+++ b/review/10/run.sh
@@ -0,0 +1,2 @@
+#!/bin/sh
+cd "$(dirname "$0")/../.." && exec node review/10/case.mjs
