Review case 10: a key taken away is in force again

The key goes first (requests get 401), the tenant without keys some seconds later: then the list of tenants is empty, and the client's requests run again, later than revoke_ms after the version that took the key away.

--- a/review/10/case.mjs
+++ b/review/10/case.mjs
@@ -1,5 +1,6 @@
-// The operator takes the only tenant away, and so its keys, while its client
-// stays connected. Its requests must not run later than `revoke_ms` after that.
+// The operator takes the only tenant's key away while its client stays connected,
+// and the tenant without keys some seconds later. The client's requests must not
+// run later than `revoke_ms` after the first of these versions.
 import http from "node:http";
 import {
   createConfig,
@@ -20,6 +21,8 @@
 const REVOKE_MS = 5_000;
 const LENGTH_MS = 12_000;
 const PAUSE_MS = 250;
+const KEYED_RUNS = 8;
+const TENANT_AFTER_MS = 3_000;
 
 await runCase(async (record, onEnd) => {
   const host = pickAddress();
@@ -65,13 +68,22 @@
   onEnd(() => agent.destroy());
   const sentAtMs = new Map();
   let takenAtMs = Number.POSITIVE_INFINITY;
+  let isTenantGone = false;
+  let { version } = createConfig();
+  const publish = (...tenants) => {
+    version += 4;
+    store.put("op/config", createConfig({ ...parts, version, tenants }));
+  };
   const untilMs = record.nowMs + LENGTH_MS;
   while (record.nowMs < untilMs) {
-    if (hasTrouble && ran.length === 8 && takenAtMs === Infinity) {
-      const { version } = createConfig();
-      const next = { ...parts, version: version + 4, tenants: [] };
-      store.put("op/config", createConfig(next));
+    const sinceMs = record.nowMs - takenAtMs;
+    if (hasTrouble && ran.length === KEYED_RUNS && takenAtMs === Infinity) {
+      publish({ ...tenant, api_keys: [] });
       takenAtMs = record.nowMs;
+      record.add("the store has acknowledged a version without the key");
+    } else if (sinceMs >= TENANT_AFTER_MS && !isTenantGone) {
+      publish();
+      isTenantGone = true;
       record.add("the store has acknowledged a version without the tenant");
     }
     const id = newId();
