Log the request rates to which runners limit the fleet

Decode the limit of every response, keep the latest statement per incarnation in RunnerRateLimits, log when it begins, changes and ends and from whom it was heard, and count limited runners. Nothing heeds a limit yet. The header is not forwarded to callers, like the one of leaving runners.

--- a/packages/gateway/src/mod.ts
+++ b/packages/gateway/src/mod.ts
@@ -23,6 +23,7 @@
 export { HttpConnection } from "./transport/http_connection.js";
 export type { MetadataStore } from "./model/metadata_store.js";
 export type { NoticeOrigin } from "./model/notice_origin.js";
+export type { RateStatement } from "./model/rate_statement.js";
 export type { RetryPolicy } from "./model/retry_policy.js";
 export type { Route } from "./model/route.js";
 export type { RoutedService } from "./model/routed_service.js";
--- a/packages/gateway/src/relay/runner_notices.ts
+++ b/packages/gateway/src/relay/runner_notices.ts
@@ -10,12 +10,14 @@
 import type { ColdRunners } from "../views/cold_runners.js";
 import type { RunnerDirectory } from "../views/runner_directory.js";
 import type { RunnerPauses } from "../views/runner_pauses.js";
+import type { RunnerRateLimits } from "../views/runner_rate_limits.js";
 
 /** Dependencies of the notices. */
 interface NoticeDependencies {
   readonly directory: RunnerDirectory;
   readonly pauses: RunnerPauses;
   readonly coldRunners: ColdRunners;
+  readonly rateLimits: RunnerRateLimits;
   readonly control: EngineControl;
   readonly pool: ConnectionPool;
   readonly metrics: Metrics;
@@ -44,15 +46,18 @@
   /** Heeds a notice of the incarnation that the request was sent to. */
   heed(
     runner: GatewayRunner,
-    { isLeaving, pauseMs: statedMs, coldMs }: RunnerNotice,
-    { source, sentAtMs }: NoticeOrigin,
+    { isLeaving, pauseMs: statedMs, coldMs, rate }: RunnerNotice,
+    origin: NoticeOrigin,
   ): void {
-    const { directory, pauses, metrics, logger } = this.#dependencies;
+    const { source, sentAtMs } = origin;
+    const { directory, pauses, rateLimits, metrics, logger } =
+      this.#dependencies;
     const incarnationId = toIncarnationId(runner);
     if (isLeaving)
       directory.markLeaving(incarnationId, source, monotonicMs() - sentAtMs);
     if (coldMs !== undefined)
       this.#dependencies.coldRunners.recordStatement(runner, coldMs);
+    if (rate) rateLimits.record(runner, rate, origin);
     if (statedMs === undefined) return;
     const pauseMs = pauses.record(runner, statedMs);
     if (pauseMs === undefined) return;
--- a/packages/gateway/src/server/gateway_instance.ts
+++ b/packages/gateway/src/server/gateway_instance.ts
@@ -61,6 +61,7 @@
 import { syncRunners } from "../views/sync_runners.js";
 import { RunnerDirectory } from "../views/runner_directory.js";
 import { RunnerPauses } from "../views/runner_pauses.js";
+import { RunnerRateLimits } from "../views/runner_rate_limits.js";
 import { RunnerWatchCache } from "../views/runner_watch_cache.js";
 import { StoreReadHealth } from "../views/store_read_health.js";
 import { CallerServer } from "./caller_server.js";
@@ -88,6 +89,7 @@
   readonly #activeConfig: ActiveConfig;
   readonly #directory: RunnerDirectory;
   readonly #evacuatedZones: EvacuatedZones;
+  readonly #rateLimits: RunnerRateLimits;
   readonly #pool = new ConnectionPool();
   readonly #roster: PeerRoster;
   readonly #membership: Membership;
@@ -140,6 +142,7 @@
     this.#activeConfig = new ActiveConfig(codec, logger);
     this.#directory = new RunnerDirectory(logger);
     this.#evacuatedZones = new EvacuatedZones(logger);
+    this.#rateLimits = new RunnerRateLimits(logger);
     const coldRunners = new ColdRunners();
     this.#directory.events.on("started", (runner) => {
       coldRunners.recordStart(runner);
@@ -300,6 +303,7 @@
         directory: this.#directory,
         pauses,
         coldRunners,
+        rateLimits: this.#rateLimits,
         control,
         pool: this.#pool,
         metrics: this.#metrics,
@@ -551,6 +555,7 @@
       `jujubeladder_runners ${this.#directory.size}`,
       `jujubeladder_store_era ${this.#store.era}`,
       `jujubeladder_evacuated_zones ${this.#evacuatedZones.size}`,
+      `jujubeladder_rate_limited_runners ${this.#rateLimits.size}`,
       `jujubeladder_quarantined_requests ${this.#quarantine.countQuarantined()}`,
       `jujubeladder_log_lines_dropped_total ${this.#droppedLogLines()}`,
       `jujubeladder_fleet_loads_known ${Number(this.#fleetLoads.isCurrent)}`,
