Keep the whole fleet to the request rate that a runner states

What callers saw: runners in need got several times the requests that they had asked for (31 in 4 s for a limit of 2 a second, 17 allowed), while another runner of the service had room.

Class: what a runner says that it takes is not heeded, or by each instance for itself, so that the sum over the fleet exceeds it.

Ruled out: that only peers of the instance that was told go on (all nine instances log the limit within 0.2 s in the test and go on); that each keeps to the limit alone (none did); retries (the excess is the same without them).

Change: one instance per runner, by rendezvous hash in the runner's region, issues permits at the stated rate, and each request that is placed on or written to such a runner needs one: first attempts, retries, resumptions. The statement goes with digests and with each permit; a change is told to the issuer at once. A service whose runners are all limited lets requests wait for permits that come in time, and refuses the others at once with the time of the next permit.

--- a/packages/coordination/src/datagram_handlers.ts
+++ b/packages/coordination/src/datagram_handlers.ts
@@ -1,6 +1,8 @@
 import type {
   Digest,
   LoadTable,
+  PermitAnswer,
+  PermitQuery,
   PlacementQuery,
   ViewQuery,
   ViewState,
@@ -15,6 +17,8 @@
   readonly viewAnnouncement: (from: DatagramEndpoint) => void;
   /** The peer is about to place a generation; true if it may. */
   readonly placementQuery?: (query: PlacementQuery) => boolean;
+  /** The peer asks for a permit to send to a runner with a rate limit. */
+  readonly permitQuery?: (query: PermitQuery) => PermitAnswer;
   /** The peer states what has been placed on runners. */
   readonly loads?: (from: DatagramEndpoint, loads: LoadTable) => void;
 }
--- a/packages/coordination/src/fit_digest.ts
+++ b/packages/coordination/src/fit_digest.ts
@@ -6,6 +6,7 @@
 import {
   MemberSchema,
   PartSuspicionSchema,
+  RunnerRateSchema,
   RunnerLossSchema,
   SuspicionSchema,
   type Digest,
@@ -16,9 +17,9 @@
  * suspicions, only those with several losses count.
  */
 const FLOORS = [
-  { suspicions: Infinity, members: 8, partSuspicions: 8 },
-  { suspicions: 4, members: 4, partSuspicions: 2 },
-  { suspicions: 0, members: 4, partSuspicions: 2 },
+  { suspicions: Infinity, members: 8, partSuspicions: 8, runnerRates: 4 },
+  { suspicions: 4, members: 4, partSuspicions: 2, runnerRates: 1 },
+  { suspicions: 0, members: 4, partSuspicions: 2, runnerRates: 0 },
 ] as const;
 /** Suspicions with a single loss that are kept at first, the newest. */
 const MIN_SINGLE_LOSSES = 2;
@@ -26,8 +27,9 @@
 /**
  * Makes a digest smaller by at least `excessBytes`: leaves out suspicions of
  * whole requests that rest on a single loss, but for the newest, and members,
- * both at random so that each is in some digests, then the parts and the other
- * suspicions that decide least. Returns undefined if that is not enough.
+ * both at random so that each is in some digests, the oldest rate limits, then the
+ * parts and the other suspicions that decide least. Returns undefined if that is
+ * not enough.
  */
 export function fitDigest(
   digest: Digest,
@@ -53,6 +55,10 @@
       leftBytes -= sizeOf(MemberSchema, fitted.members.at(-1));
       fitted.members = fitted.members.slice(0, -1);
     }
+    while (leftBytes > 0 && fitted.runnerRates.length > floor.runnerRates) {
+      leftBytes -= sizeOf(RunnerRateSchema, fitted.runnerRates.at(-1));
+      fitted.runnerRates = fitted.runnerRates.slice(0, -1);
+    }
     while (
       leftBytes > 0 &&
       fitted.partSuspicions.length > floor.partSuspicions
--- a/packages/coordination/src/gossip_extension.ts
+++ b/packages/coordination/src/gossip_extension.ts
@@ -3,6 +3,7 @@
   Digest,
   EvacuationsSchema,
   MemberSchema,
+  RunnerRateSchema,
   RunnerShareSchema,
 } from "@jujubeladder/protocol";
 import type { ClockReading } from "@jujubeladder/utils";
@@ -16,6 +17,7 @@
     readonly evacuations?: MessageInitShape<typeof EvacuationsSchema>;
     readonly members: MessageInitShape<typeof MemberSchema>[];
     readonly runnerShares: MessageInitShape<typeof RunnerShareSchema>[];
+    readonly runnerRates?: MessageInitShape<typeof RunnerRateSchema>[];
   };
   /**
    * Merges a peer's digest. `sentAt` is when this instance sent the call that
--- a/packages/coordination/src/peer_datagrams.ts
+++ b/packages/coordination/src/peer_datagrams.ts
@@ -9,11 +9,13 @@
 import {
   LoadTableSchema,
   PeerDatagramSchema,
+  PermitQuerySchema,
   PlacementAnswerSchema,
   PlacementQuerySchema,
   ViewQuerySchema,
   type Digest,
   type PeerDatagram,
+  type PermitAnswer,
   type ViewState,
 } from "@jujubeladder/protocol";
 import { describeError } from "@jujubeladder/utils";
@@ -129,6 +131,21 @@
       : undefined;
   }
 
+  /**
+   * Asks a peer for a permit to send to a runner with a rate limit; undefined if
+   * no answer arrives in time.
+   */
+  async askPermit(
+    peer: DatagramEndpoint,
+    query: MessageInitShape<typeof PermitQuerySchema>,
+  ): Promise<PermitAnswer | undefined> {
+    const answer = await this.#ask(peer, {
+      case: "permitQuery",
+      value: create(PermitQuerySchema, query),
+    });
+    return answer?.case === "permitAnswer" ? answer.value : undefined;
+  }
+
   /** Tells a peer what has been placed on runners, which it may miss. */
   sendLoads(
     peer: DatagramEndpoint,
@@ -275,7 +292,12 @@
       const value = create(PlacementAnswerSchema, { isGranted });
       return { case: "placementAnswer", value };
     }
+    case "permitQuery": {
+      const value = handlers.permitQuery?.(content.value);
+      return value && { case: "permitAnswer", value };
+    }
     case "placementAnswer":
+    case "permitAnswer":
     case undefined:
       return undefined;
   }
--- a/packages/gateway/src/__tests__/placement_rules.test.ts
+++ b/packages/gateway/src/__tests__/placement_rules.test.ts
@@ -10,6 +10,7 @@
 import { Logger } from "@jujubeladder/logger";
 import { createPlacementRules } from "./create_placement_rules.js";
 import { createRunner } from "./create_runner.js";
+import { UNLIMITED_PERMITS } from "./unlimited_permits.js";
 
 const SERVICE: RoutedService = {
   serviceId: "writer",
@@ -28,6 +29,7 @@
   directory.replaceAll([NEAR, FAR], { era: 1, revision: 1 });
   const created = createPlacementRules(options);
   const scheduler = new PlacementScheduler({
+    permits: UNLIMITED_PERMITS,
     directory,
     pauses: new RunnerPauses(),
     rules: created.rules,
--- a/packages/gateway/src/__tests__/returned_runner.test.ts
+++ b/packages/gateway/src/__tests__/returned_runner.test.ts
@@ -18,6 +18,7 @@
 import { RunnerPauses } from "../views/runner_pauses.js";
 import { createPlacementRules } from "./create_placement_rules.js";
 import { createRunner } from "./create_runner.js";
+import { UNLIMITED_PERMITS } from "./unlimited_permits.js";
 
 const LOGGER = new Logger({});
 const A = createRunner("a");
@@ -47,6 +48,7 @@
   const directory = new RunnerDirectory(LOGGER);
   directory.replaceAll([A, B], { era: 0, revision: 100 });
   const scheduler = new PlacementScheduler({
+    permits: UNLIMITED_PERMITS,
     directory,
     pauses: new RunnerPauses(),
     rules: createPlacementRules().rules,
--- a/packages/gateway/src/decisions/placement_choice.ts
+++ b/packages/gateway/src/decisions/placement_choice.ts
@@ -14,4 +14,6 @@
   | { readonly type: "not_allowed" }
   /** All runners that are left want no requests now. */
   | { readonly type: "all_paused" }
+  /** All runners that are left limit their rate, and none has a permit now. */
+  | { readonly type: "all_limited"; readonly opensInMs: number }
   | { readonly type: "no_runner" };
--- a/packages/gateway/src/mesh/create_gossip_extension.ts
+++ b/packages/gateway/src/mesh/create_gossip_extension.ts
@@ -5,33 +5,40 @@
 import type { EvacuatedZones } from "../views/evacuated_zones.js";
 import type { ActiveConfig } from "../views/active_config.js";
 import type { RunnerDirectory } from "../views/runner_directory.js";
+import type { RunnerRateLimits } from "../views/runner_rate_limits.js";
 import { RefusedEntryLog } from "../views/refused_entry_log.js";
 import { decodeEvacuations } from "./decode_evacuations.js";
+import { decodeRunnerRate } from "./decode_runner_rate.js";
 import { encodeEvacuations } from "./encode_evacuations.js";
+import { encodeRunnerRate } from "./encode_runner_rate.js";
 import type { PeerRoster } from "./peer_roster.js";
 
 /** An older confirmation is of no use to peers and is not sent. */
 const MAX_CONFIRMATION_AGE_MS = 10_000;
 
+/** Peers that lack others ask for a permit before they send there. */
+const MAX_RUNNER_RATES = 8;
+
 /** No instance places more requests on one runner. */
 const MAX_SHARE_REQUESTS = 65_535;
 const MAX_UINT32 = 2 ** 32 - 1;
 
 /**
  * Creates the gateway's part of the gossip digests: confirmation of the
- * configuration, known peers, and the load placed on each runner.
+ * configuration, known peers, the load placed on each runner, and rate limits.
  */
 export function createGossipExtension(dependencies: {
   readonly roster: PeerRoster;
   readonly loadTracker: LoadTracker;
   readonly activeConfig: ActiveConfig;
   readonly evacuatedZones?: EvacuatedZones | undefined;
+  readonly rateLimits?: RunnerRateLimits | undefined;
   readonly directory: RunnerDirectory;
   readonly store: Pick<MetadataStore, "era" | "recordPeerEra">;
   readonly logger: Logger;
 }): GossipExtension {
   const { roster, loadTracker, activeConfig, directory, store } = dependencies;
-  const { evacuatedZones } = dependencies;
+  const { evacuatedZones, rateLimits } = dependencies;
   const refusedPeers = new RefusedEntryLog(dependencies.logger, "peer_refused");
   const record = (peer: Parameters<PeerRoster["record"]>[0]): boolean => {
     const isPeer = roster.record(peer);
@@ -60,6 +67,9 @@
           peakTokens: toUint32(load.peakTokens),
           unreadTokens: toUint32(load.unreadTokens),
         })),
+        runnerRates: (rateLimits?.listLatest(MAX_RUNNER_RATES) ?? []).map(
+          encodeRunnerRate,
+        ),
       };
     },
     merge: (digest, sentAt) => {
@@ -84,6 +94,9 @@
             .map(({ runnerId, ...share }) => [runnerId, share]),
         ),
       });
+      for (const rate of digest.runnerRates.map(decodeRunnerRate)) {
+        if (rate) rateLimits?.mergePeer(rate);
+      }
       for (const incarnationId of digest.leavingRunners) {
         directory.markLeaving(incarnationId, "peer");
       }
--- a/packages/gateway/src/mesh/create_membership.ts
+++ b/packages/gateway/src/mesh/create_membership.ts
@@ -14,6 +14,7 @@
 import { SMALL_FLEET_MAX_INSTANCES } from "../decisions/small_fleet_max_instances.js";
 import type { MetadataStore } from "../model/metadata_store.js";
 import type { EvacuatedZones } from "../views/evacuated_zones.js";
+import type { RunnerRateLimits } from "../views/runner_rate_limits.js";
 import type { ActiveConfig } from "../views/active_config.js";
 import type { RunnerDirectory } from "../views/runner_directory.js";
 import { createGossipExtension } from "./create_gossip_extension.js";
@@ -38,6 +39,7 @@
   };
   readonly activeConfig: ActiveConfig;
   readonly evacuatedZones?: EvacuatedZones;
+  readonly rateLimits?: RunnerRateLimits;
   readonly directory: RunnerDirectory;
   readonly roster: PeerRoster;
   readonly peers: PeerDirectory;
--- a/packages/gateway/src/relay/placement_explanation.ts
+++ b/packages/gateway/src/relay/placement_explanation.ts
@@ -7,6 +7,7 @@
   | "region"
   | "evacuated"
   | "paused"
+  | "limited"
   | "cold"
   | "warming_up"
   | "full";
--- a/packages/gateway/src/relay/placement_scheduler.ts
+++ b/packages/gateway/src/relay/placement_scheduler.ts
@@ -21,6 +21,7 @@
 import type { RunnerLoad } from "../model/runner_load.js";
 import type { RunnerDirectory } from "../views/runner_directory.js";
 import type { LoadExchange } from "../mesh/load_exchange.js";
+import type { RatePermits } from "../mesh/rate_permits.js";
 import type { RunnerPauses } from "../views/runner_pauses.js";
 import type {
   ExplainedRunner,
@@ -53,6 +54,10 @@
   readonly findAllowedRegions: () => AllowedRegions;
 }
 
+type Permits = Pick<
+  RatePermits,
+  "isLimited" | "findOpenMs" | "claim" | "release" | "acquire"
+>;
 type Exchange = Pick<LoadExchange, "refresh" | "scheduleReport" | "confirm">;
 
 interface QueuedRequest {
@@ -80,6 +85,7 @@
 export class PlacementScheduler {
   readonly #directory: RunnerDirectory;
   readonly #pauses: RunnerPauses;
+  readonly #permits: Permits;
   readonly #rules: PlacementRules;
   readonly #loadTracker: LoadTracker;
   readonly #outliers: OutlierScores;
@@ -98,6 +104,7 @@
   constructor(dependencies: {
     readonly directory: RunnerDirectory;
     readonly pauses: RunnerPauses;
+    readonly permits: Permits;
     readonly rules: PlacementRules;
     readonly loadTracker: LoadTracker;
     readonly outliers: OutlierScores;
@@ -113,6 +120,7 @@
     this.#countInstances = dependencies.countInstances;
     this.#directory = dependencies.directory;
     this.#pauses = dependencies.pauses;
+    this.#permits = dependencies.permits;
     this.#rules = dependencies.rules;
     this.#loadTracker = dependencies.loadTracker;
     this.#outliers = dependencies.outliers;
@@ -131,6 +139,8 @@
       if (!this.#isAllowedAnywhere(requirements))
         return { type: "not_allowed" };
       if (this.#arePaused(requirements)) return { type: "all_paused" };
+      const opensInMs = this.#findPermitMs(requirements);
+      if (opensInMs !== undefined) return { type: "all_limited", opensInMs };
     }
     return chooseRunner(candidates, this.#createContext(requirements));
   }
@@ -155,11 +165,13 @@
         : (this.#rules.findBar(runner, allowedRegions) ??
           (this.#pauses.isPaused(runner)
             ? "paused"
-            : !this.#rules.hasTurn(runner, service)
-              ? "cold"
-              : !this.#rules.keepsPace(candidate, service, promptTokens)
-                ? "warming_up"
-                : undefined));
+            : this.#permits.findOpenMs(runner) > 0
+              ? "limited"
+              : !this.#rules.hasTurn(runner, service)
+                ? "cold"
+                : !this.#rules.keepsPace(candidate, service, promptTokens)
+                  ? "warming_up"
+                  : undefined));
       const score = reason ? undefined : scoreCandidate(candidate, context);
       return {
         runnerId,
@@ -181,6 +193,11 @@
     };
   }
 
+  /** True for a runner that limits the rate of all instances. */
+  isLimited(runner: GatewayRunner): boolean {
+    return this.#permits.isLimited(runner);
+  }
+
   /**
    * Time until the first runner of a service ends its pause; undefined unless
    * all of them pause.
@@ -226,6 +243,7 @@
       const { runnerId } = runner;
       if (excludedRunnerIds.has(runnerId)) continue;
       if (this.#pauses.isPaused(runner)) continue;
+      if (this.#permits.findOpenMs(runner) > 0) continue;
       if (!this.#rules.isAllowed(runner, allowedRegions)) continue;
       if (!this.#rules.hasTurn(runner, service)) continue;
       const load = this.#loadTracker.getLoad(runnerId, nowMs);
@@ -261,7 +279,9 @@
     if (options.signal.aborted) return { type: "no_runner" };
     const choice = this.chooseNow(requirements);
     const isWaitUseless =
-      choice.type === "all_paused" || choice.type === "not_allowed";
+      choice.type === "all_paused" ||
+      choice.type === "not_allowed" ||
+      (choice.type === "all_limited" && choice.opensInMs > options.maxWaitMs);
     if (options.maxWaitMs <= 0 || isWaitUseless) return choice;
     return await new Promise((resolve) => {
       const { signal } = options;
@@ -290,6 +310,7 @@
       };
       signal.addEventListener("abort", onAbort, { once: true });
       this.#queue.push(service.serviceId, queued);
+      if (choice.type === "all_limited") void this.#awaitPermit(queued);
       this.#timer ??= setInterval(() => {
         this.dispatchQueued();
       }, DISPATCH_INTERVAL_MS);
@@ -353,7 +374,7 @@
       if (choice.type !== "placed") return false;
       if (assignedRunnerIds.has(choice.runner.runnerId)) return false;
       assignedRunnerIds.add(choice.runner.runnerId);
-      if (this.#needsConfirmation(item.requirements)) {
+      if (this.#needsAsking(choice.runner, item.requirements)) {
         void this.#confirmQueued(item, choice);
         return false;
       }
@@ -421,8 +442,8 @@
     for (let choices = 0; choices < MAX_CONFIRMED_CHOICES; choices += 1) {
       const choice = this.chooseNow({ ...requirements, excludedRunnerIds });
       if (choice.type !== "placed") return undefined;
-      if (!this.#needsConfirmation(requirements)) return choice;
-      if (await this.#confirm(choice.runner, requirements)) return choice;
+      if (!this.#needsAsking(choice.runner, requirements)) return choice;
+      if (await this.#ask(choice.runner, requirements)) return choice;
       excludedRunnerIds.add(choice.runner.runnerId);
     }
     return undefined;
@@ -433,7 +454,7 @@
     choice: PlacementChoice & { readonly type: "placed" },
   ): Promise<void> {
     item.isConfirming = true;
-    const isGranted = await this.#confirm(choice.runner, item.requirements);
+    const isGranted = await this.#ask(choice.runner, item.requirements);
     item.isConfirming = false;
     if (!isGranted) {
       item.nextConfirmationAtMs = monotonicMs() + CONFIRMATION_PAUSE_MS;
@@ -441,6 +462,51 @@
     }
     const waiting = this.#queue.removeWhere((queued) => queued === item);
     if (waiting.length > 0) item.settle(choice);
+    else this.#permits.release(choice.runner);
+  }
+
+  // Gets a permit of the runner that has one first for a request in the queue, and
+  // refuses the request if that is too late for it.
+  async #awaitPermit(item: QueuedRequest): Promise<void> {
+    const [runner] = this.#listRemaining(item.requirements)
+      .filter((candidate) => this.#permits.isLimited(candidate))
+      .sort(
+        (a, b) => this.#permits.findOpenMs(a) - this.#permits.findOpenMs(b),
+      );
+    if (!runner) return;
+    const maxWaitMs = item.waitEndsAtMs - monotonicMs();
+    const permit = await this.#permits.acquire(runner, { maxWaitMs });
+    if (permit.type === "granted") return;
+    const choice = this.chooseNow(item.requirements);
+    const isTooLate =
+      choice.type === "all_limited" &&
+      monotonicMs() + choice.opensInMs > item.waitEndsAtMs;
+    if (!isTooLate) return;
+    const waiting = this.#queue.removeWhere((queued) => queued === item);
+    if (waiting.length > 0) item.settle(choice);
+  }
+
+  // Claims a permit that is at hand.
+  #needsAsking(
+    runner: GatewayRunner,
+    requirements: PlacementRequirements,
+  ): boolean {
+    return (
+      this.#needsConfirmation(requirements) || !this.#permits.claim(runner)
+    );
+  }
+
+  async #ask(
+    runner: GatewayRunner,
+    requirements: PlacementRequirements,
+  ): Promise<boolean> {
+    const isConfirmed =
+      !this.#needsConfirmation(requirements) ||
+      (await this.#confirm(runner, requirements));
+    if (!isConfirmed) return false;
+    if (this.#permits.claim(runner)) return true;
+    const permit = await this.#permits.acquire(runner, { maxWaitMs: 0 });
+    return permit.type === "granted" && this.#permits.claim(runner);
   }
 
   #needsConfirmation({ service, work }: PlacementRequirements): boolean {
@@ -538,12 +604,31 @@
     );
   }
 
+  #arePaused(requirements: PlacementRequirements): boolean {
+    const remaining = this.#listRemaining(requirements);
+    return this.#pauses.findEarliestEndMs(remaining) !== undefined;
+  }
+
+  // Time until the first of the runners can be asked for a permit; undefined if
+  // there is one without a limit that does not pause.
+  #findPermitMs(requirements: PlacementRequirements): number | undefined {
+    const remaining = this.#listRemaining(requirements).filter(
+      (runner) => !this.#pauses.isPaused(runner),
+    );
+    const areLimited =
+      remaining.length > 0 &&
+      remaining.every((runner) => this.#permits.isLimited(runner));
+    return areLimited
+      ? Math.min(...remaining.map((runner) => this.#permits.findOpenMs(runner)))
+      : undefined;
+  }
+
   // Runners that the request has tried count only if there are no others.
-  #arePaused({
+  #listRemaining({
     service,
     excludedRunnerIds,
     findAllowedRegions,
-  }: PlacementRequirements): boolean {
+  }: PlacementRequirements): readonly GatewayRunner[] {
     const allowedRegions = findAllowedRegions();
     const usable = this.#directory
       .listUsable(service.serviceId)
@@ -551,8 +636,7 @@
     const others = usable.filter(
       ({ runnerId }) => !excludedRunnerIds.has(runnerId),
     );
-    const remaining = others.length > 0 ? others : usable;
-    return this.#pauses.findEarliestEndMs(remaining) !== undefined;
+    return others.length > 0 ? others : usable;
   }
 }
 
--- a/packages/gateway/src/relay/relay_progress.ts
+++ b/packages/gateway/src/relay/relay_progress.ts
@@ -22,6 +22,11 @@
   lastReason: string;
   /** By the operator's word, it may go to none of the runners that are left. */
   isBarred: boolean;
+  /**
+   * When the first of the runners that are left can be asked for a permit;
+   * undefined unless all of them limit their rate.
+   */
+  permitInMs: number | undefined;
   /** Last complete 5xx response, delivered if no retry succeeds. */
   lastFailure: Extract<AttemptOutcome, { type: "answered" }> | undefined;
   /** Runners that answered with a server error. */
--- a/packages/gateway/src/relay/request_relay.ts
+++ b/packages/gateway/src/relay/request_relay.ts
@@ -15,6 +15,7 @@
 import type { Refusal } from "../model/refusal.js";
 import type { RunnerResponse } from "../model/runner_response.js";
 import type { ConnectionPool } from "../transport/connection_pool.js";
+import type { RatePermits } from "../mesh/rate_permits.js";
 import type { RunnerDirectory } from "../views/runner_directory.js";
 import type { AttemptOutcome } from "./attempt_outcome.js";
 import type { FinalOutcome } from "./final_outcome.js";
@@ -56,6 +57,7 @@
 const NO_PLACEMENT_REASONS = {
   no_capacity: "no runner has room",
   all_paused: "all runners pause",
+  all_limited: "all runners limit their rate",
   not_allowed: "the request may go to none of the runners",
   no_runner: "no runner is left",
 } as const;
@@ -72,6 +74,7 @@
   readonly migrator: RunMigrator;
   readonly notices: RunnerNotices;
   readonly rules: PlacementRules;
+  readonly permits: Pick<RatePermits, "spend" | "release">;
   readonly directory: RunnerDirectory;
   readonly outliers: OutlierScores;
   readonly retries: RetryBooker;
@@ -127,6 +130,7 @@
       mayHaveExecuted: false,
       lastReason: "",
       isBarred: false,
+      permitInMs: undefined,
       lastFailure: undefined,
       failures: new FailureBlame(),
       lastConnection: undefined,
@@ -255,7 +259,11 @@
       },
     );
     // It may have come up during the wait.
-    if (this.#findObstacle(context)) return undefined;
+    if (this.#findObstacle(context)) {
+      if (choice.type === "placed")
+        this.#dependencies.permits.release(choice.runner);
+      return undefined;
+    }
     if (choice.type === "placed") {
       const load = scheduler.getLoad(choice.runner.runnerId);
       this.#dependencies.logger.info("placement", {
@@ -272,6 +280,8 @@
       return choice.runner;
     }
     progress.isBarred = choice.type === "not_allowed";
+    progress.permitInMs =
+      choice.type === "all_limited" ? choice.opensInMs : undefined;
     progress.lastReason ||= NO_PLACEMENT_REASONS[choice.type];
     return undefined;
   }
@@ -322,6 +332,10 @@
       if (!opened.ok) return { type: "not_sent", reason: opened.error };
       const connection = opened.value;
       const kind = { isResumption: continueFrom !== undefined };
+      if (!(await this.#dependencies.permits.spend(runner, kind))) {
+        connection.close();
+        return { type: "withheld", reason: "the runner limits its rate" };
+      }
       const ruled = { service, allowedRegions: context.findAllowedRegions() };
       const objection =
         notices.findObjection(runner, kind) ??
@@ -535,9 +549,11 @@
       const retryAfterMs = estimateRetryAfterMs({
         queuedCount: this.#dependencies.scheduler.queuedCount,
         freedSlotsPerSecond: this.#sendRate.perSecond,
-        pauseEndsInMs: this.#dependencies.scheduler.findPauseEndMs(
-          context.service.serviceId,
-        ),
+        pauseEndsInMs:
+          progress.permitInMs ??
+          this.#dependencies.scheduler.findPauseEndMs(
+            context.service.serviceId,
+          ),
         random: Math.random(),
       });
       return refuse({ type: "not_run", reason, retryAfterMs });
--- a/packages/gateway/src/relay/run_migrator.ts
+++ b/packages/gateway/src/relay/run_migrator.ts
@@ -3,6 +3,7 @@
 import { monotonicMs, sleep } from "@jujubeladder/utils";
 import { chooseMigrationTarget } from "../decisions/choose_migration_target.js";
 import { estimatePeakTokens } from "../decisions/estimate_peak_tokens.js";
+import type { RunnerCandidate } from "../decisions/runner_candidate.js";
 import type { EngineControl } from "../model/engine_control.js";
 import type { GatewayRunner } from "../model/gateway_runner.js";
 import type { KvCacheRef } from "../model/kv_cache_ref.js";
@@ -65,7 +66,7 @@
       targets: {
         choose: (refusedRunnerIds) =>
           chooseMigrationTarget(
-            scheduler.listCandidates({
+            this.#listTargets({
               service,
               excludedRunnerIds: new Set(),
               findAllowedRegions: context.findAllowedRegions,
@@ -142,6 +143,19 @@
     if (migrations?.size === 0) this.#migrations.delete(runner.runnerId);
   }
 
+  // A run can only resume where its copy is, so that it must not go to a runner
+  // that limits its rate if there are others.
+  #listTargets(
+    requirements: Parameters<PlacementScheduler["listCandidates"]>[0],
+  ): readonly RunnerCandidate[] {
+    const { scheduler } = this.#dependencies;
+    const candidates = scheduler.listCandidates(requirements);
+    const unlimited = candidates.filter(
+      ({ runner }) => !scheduler.isLimited(runner),
+    );
+    return unlimited.length > 0 ? unlimited : candidates;
+  }
+
   async #migrateRuns(source: GatewayRunner): Promise<void> {
     const migrations = [...(this.#migrations.get(source.runnerId) ?? [])];
     if (migrations.length === 0) return;
--- a/packages/gateway/src/server/gateway_instance.ts
+++ b/packages/gateway/src/server/gateway_instance.ts
@@ -32,6 +32,7 @@
 import { MAX_TABLE_RUNNERS } from "../mesh/max_table_runners.js";
 import { LoadExchange } from "../mesh/load_exchange.js";
 import { decodeEvacuations } from "../mesh/decode_evacuations.js";
+import { RatePermits } from "../mesh/rate_permits.js";
 import { PeerRoster } from "../mesh/peer_roster.js";
 import { PeerStoreReaderProvider } from "../mesh/peer_store_reader_provider.js";
 import { createViewHandlers } from "../mesh/create_view_handlers.js";
@@ -90,6 +91,7 @@
   readonly #directory: RunnerDirectory;
   readonly #evacuatedZones: EvacuatedZones;
   readonly #rateLimits: RunnerRateLimits;
+  readonly #permits: RatePermits;
   readonly #pool = new ConnectionPool();
   readonly #roster: PeerRoster;
   readonly #membership: Membership;
@@ -223,6 +225,7 @@
       settings,
       activeConfig: this.#activeConfig,
       evacuatedZones: this.#evacuatedZones,
+      rateLimits: this.#rateLimits,
       directory: this.#directory,
       roster: this.#roster,
       peers: this.#peers,
@@ -251,9 +254,18 @@
       coldLimit: settings.coldLimit,
       metrics: this.#metrics,
     });
+    this.#permits = new RatePermits({
+      own: { instanceId: ownAddress, region },
+      limits: this.#rateLimits,
+      listPeers: () => this.#roster.listInstances(),
+      isFleetKnown: () => this.#roster.isSizeKnown,
+      datagrams: this.#peerDatagrams,
+      metrics: this.#metrics,
+    });
     const scheduler = new PlacementScheduler({
       directory: this.#directory,
       pauses,
+      permits: this.#permits,
       rules,
       loadTracker,
       outliers,
@@ -299,6 +311,7 @@
       scheduler,
       migrator,
       rules,
+      permits: this.#permits,
       notices: new RunnerNotices({
         directory: this.#directory,
         pauses,
@@ -431,6 +444,7 @@
       },
       placementQuery: (query) =>
         this.#sharesLoads ? this.#decidePlacement(query) : true,
+      permitQuery: (query) => this.#permits.answer(query),
       loads: (from, loads) => {
         this.#loadExchange.handleReport(toAddress(from), loads);
       },
--- a/packages/gateway/src/views/runner_rate_limits.ts
+++ b/packages/gateway/src/views/runner_rate_limits.ts
@@ -1,3 +1,4 @@
+import Emittery from "emittery";
 import type { Logger } from "@jujubeladder/logger";
 import { monotonicMs } from "@jujubeladder/utils";
 import type { GatewayRunner } from "../model/gateway_runner.js";
@@ -6,10 +7,11 @@
 import type { SharedRateLimit } from "../model/shared_rate_limit.js";
 import { toIncarnationId } from "../model/to_incarnation_id.js";
 
-/** A limit that no response has stated for this long is forgotten. */
+/**
+ * What was stated longer ago is forgotten, ends too: a peer may tell of a limit
+ * that has ended since for as long.
+ */
 const MAX_AGE_MS = 120_000;
-/** Peers that hear of an end later have asked the runner meanwhile. */
-const END_RETENTION_MS = 10_000;
 /** Limits that a peer can make this instance remember. */
 const MAX_LIMITS = 20_000;
 
@@ -25,6 +27,10 @@
  * incarnation. A limit holds until a response to a later request states none.
  */
 export class RunnerRateLimits {
+  readonly events = new Emittery<{
+    /** A runner has told this instance of another limit, or of its end. */
+    changed: GatewayRunner;
+  }>();
   readonly #logger: Logger;
   readonly #limits = new Map<string, Limit>();
 
@@ -59,8 +65,13 @@
           statedAtMs: monotonicMs(),
           hasEnded: false,
         });
-        if (known?.requestsPerSecond !== statement.requestsPerSecond)
-          this.#log("runner_rate_limited", incarnationId, source);
+        if (
+          known?.requestsPerSecond === statement.requestsPerSecond &&
+          !known.hasEnded
+        )
+          return;
+        this.#log("runner_rate_limited", incarnationId, source);
+        void this.events.emit("changed", runner);
         return;
       case "unlimited": {
         // A request that was sent before the statement may be answered late.
@@ -76,6 +87,7 @@
           hasEnded: true,
         });
         this.#log("runner_rate_limit_ended", incarnationId, source);
+        void this.events.emit("changed", runner);
         return;
       }
       case "unreadable":
@@ -138,9 +150,8 @@
 
   #evictOld(): void {
     const nowMs = monotonicMs();
-    for (const [incarnationId, { statedAtMs, hasEnded }] of this.#limits) {
-      const maxAgeMs = hasEnded ? END_RETENTION_MS : MAX_AGE_MS;
-      if (nowMs - statedAtMs > maxAgeMs) this.#limits.delete(incarnationId);
+    for (const [incarnationId, { statedAtMs }] of this.#limits) {
+      if (nowMs - statedAtMs > MAX_AGE_MS) this.#limits.delete(incarnationId);
     }
   }
 }
--- a/packages/metrics/src/counter_name.ts
+++ b/packages/metrics/src/counter_name.ts
@@ -5,7 +5,8 @@
  * unusable as they leave, `runners_returned` those of them whose absence from
  * the store was withdrawn, `runner_pauses` the pauses that runners asked for,
  * and `withheld_…` the requests that were about to be written to a runner when
- * data residency, an evacuation or the limit of a cold runner came to bar them.
+ * data residency, an evacuation, the limit of a cold runner or the rate limit that
+ * a runner states came to bar them.
  */
 export type CounterName =
   | "tokens"
@@ -20,6 +21,7 @@
   | "withheld_residency"
   | "withheld_evacuation"
   | "withheld_cold"
+  | "withheld_limit"
   | "refusals"
   | "bodies_without_room"
   | "connections_evicted"
