Log the software version of runners, and streams that are taken up

The version of a runner's entry is read, told to peers, and logged when it is listed, placed on and tried; the stream line names the request that it takes up. An entry without a version as text names no runner, as the platform's page has it. Nothing heeds the version yet.

--- a/packages/gateway/src/__tests__/create_runner.ts
+++ b/packages/gateway/src/__tests__/create_runner.ts
@@ -14,6 +14,7 @@
     availabilityZone: "r1-a",
     state: "live",
     slots: 4,
+    softwareVersion: "v1",
     startedAtMs: 1,
     warmAtMs: 0,
     ...changes,
--- a/packages/gateway/src/mesh/decode_runner_entry.ts
+++ b/packages/gateway/src/mesh/decode_runner_entry.ts
@@ -22,6 +22,7 @@
     region,
     availabilityZone,
     slots,
+    softwareVersion: entry.softwareVersion,
     state: entry.isLeaving ? "leaving" : "live",
     startedAtMs: Number(entry.startedAtMs),
     coldLeftMs: entry.coldLeftMs,
--- a/packages/gateway/src/model/caller_request.ts
+++ b/packages/gateway/src/model/caller_request.ts
@@ -11,6 +11,8 @@
   /** How long the caller waits for the response. */
   readonly maxWaitMs?: number | undefined;
   readonly lastEventId?: number | undefined;
+  /** Id of the request that brought the first event of the stream. */
+  readonly resumedRequestId?: string | undefined;
   readonly work?: GenerationWork | undefined;
   /** Headers to forward to the runner: names and values, alternating. */
   readonly forwardedHeaders: readonly string[];
--- a/packages/gateway/src/model/check_runner.ts
+++ b/packages/gateway/src/model/check_runner.ts
@@ -38,6 +38,7 @@
   if (!isName(entry.serviceId)) return "serviceId";
   if (!isName(entry.availabilityZone)) return "availabilityZone";
   if (!isName(entry.region)) return "region";
+  if (!isName(entry.softwareVersion)) return "softwareVersion";
   if (!isIPv4(entry.host)) return "host";
   if (!isWhole(entry.port, { min: 1, max: MAX_PORT })) return "port";
   if (!isWhole(slots, { min: 1, max: MAX_SLOTS })) return "slots";
--- a/packages/gateway/src/relay/log_attempt.ts
+++ b/packages/gateway/src/relay/log_attempt.ts
@@ -24,6 +24,7 @@
     runner: runner.runnerId,
     incarnation: toIncarnationId(runner),
     zone: runner.availabilityZone,
+    software_version: runner.softwareVersion,
     send_count: progress.sendCount,
     outcome: progress.continueAt ? "moved" : outcome.type,
     connection: connection && (connection.isReused ? "kept" : "new"),
--- a/packages/gateway/src/relay/placement_explanation.ts
+++ b/packages/gateway/src/relay/placement_explanation.ts
@@ -17,6 +17,7 @@
   readonly runnerId: string;
   readonly availabilityZone: string;
   readonly region: string;
+  readonly softwareVersion: string;
   readonly load: RunnerLoad;
   readonly failureShare: number;
   readonly verdict:
--- a/packages/gateway/src/relay/placement_scheduler.ts
+++ b/packages/gateway/src/relay/placement_scheduler.ts
@@ -156,7 +156,7 @@
       ...this.#directory.listUsable(serviceId),
       ...this.#directory.listLeaving(serviceId),
     ].map((runner): ExplainedRunner => {
-      const { runnerId, availabilityZone, region } = runner;
+      const { runnerId, availabilityZone, region, softwareVersion } = runner;
       const load = this.#loadTracker.getLoad(runnerId);
       const failureShare = this.#outliers.getFailureShare(runnerId);
       const candidate = { runner, load, failureShare };
@@ -177,6 +177,7 @@
         runnerId,
         availabilityZone,
         region,
+        softwareVersion,
         load,
         failureShare,
         verdict:
--- a/packages/gateway/src/relay/record_stream.ts
+++ b/packages/gateway/src/relay/record_stream.ts
@@ -26,6 +26,8 @@
   dependencies.logger.info("stream", {
     request: context.request.requestId,
     route: context.route.routeId,
+    resumes: context.request.resumedRequestId,
+    last_event_id: context.request.lastEventId,
     events: session.eventCount,
     send_count: progress.sendCount,
     first_event_ms: firstEventMs,
--- a/packages/gateway/src/relay/request_relay.ts
+++ b/packages/gateway/src/relay/request_relay.ts
@@ -269,6 +269,7 @@
       this.#dependencies.logger.info("placement", {
         request: request.requestId,
         runner: choice.runner.runnerId,
+        software_version: choice.runner.softwareVersion,
         score: choice.score,
         candidates: choice.candidateCount,
         runner_requests: load.requests,
--- a/packages/gateway/src/views/runner_directory.ts
+++ b/packages/gateway/src/views/runner_directory.ts
@@ -194,6 +194,7 @@
         runner: runnerId,
         service: runner.serviceId,
         zone: runner.availabilityZone,
+        software_version: runner.softwareVersion,
         state: runner.state,
       });
     if (runner.state === "leaving")
