Let a stream go on only at the software version that began it

Cause: placement did not know of versions, neither for the run that follows a broken one nor for the target of a move.

Change: the first event binds a stream to the version of its runner. Candidates of later runs and targets of moves are of that version, and it is asked again at the write, as a runner may have started again under its id. Where no runner has it any more, the stream ends at once, not in the queue. Before the first event a request goes anywhere.

--- a/packages/gateway/src/decisions/placement_choice.ts
+++ b/packages/gateway/src/decisions/placement_choice.ts
@@ -16,4 +16,6 @@
   | { readonly type: "all_paused" }
   /** All runners that are left limit their rate, and none has a permit now. */
   | { readonly type: "all_limited"; readonly opensInMs: number }
+  /** No runner has the software version that began the stream. */
+  | { readonly type: "no_software" }
   | { readonly type: "no_runner" };
--- a/packages/gateway/src/relay/placement_scheduler.ts
+++ b/packages/gateway/src/relay/placement_scheduler.ts
@@ -6,6 +6,7 @@
 import { addLoads } from "../decisions/add_loads.js";
 import { estimatePeakTokens } from "../decisions/estimate_peak_tokens.js";
 import { PendingGrants } from "../decisions/pending_grants.js";
+import { isSameSoftware } from "../decisions/is_same_software.js";
 import { chooseRunner } from "../decisions/choose_runner.js";
 import type { LoadTracker } from "../decisions/load_tracker.js";
 import type { OutlierScores } from "../decisions/outlier_scores.js";
@@ -50,6 +51,8 @@
   /** The shortest latency target of the streams of its service. */
   readonly shortestTargetMs?: number | undefined;
   readonly excludedRunnerIds: ReadonlySet<string>;
+  /** The only one of which a runner may be; any if absent. */
+  readonly softwareVersion?: string | undefined;
   /** Asked anew for each choice, as the configuration may change. */
   readonly findAllowedRegions: () => AllowedRegions;
 }
@@ -136,6 +139,7 @@
   chooseNow(requirements: PlacementRequirements): PlacementChoice {
     const candidates = this.listCandidates(requirements);
     if (candidates.length === 0) {
+      if (!this.#hasSoftware(requirements)) return { type: "no_software" };
       if (!this.#isAllowedAnywhere(requirements))
         return { type: "not_allowed" };
       if (this.#arePaused(requirements)) return { type: "all_paused" };
@@ -231,7 +235,11 @@
   listCandidates(
     requirements: Pick<
       PlacementRequirements,
-      "service" | "work" | "excludedRunnerIds" | "findAllowedRegions"
+      | "service"
+      | "work"
+      | "excludedRunnerIds"
+      | "softwareVersion"
+      | "findAllowedRegions"
     >,
   ): readonly RunnerCandidate[] {
     const nowMs = monotonicMs();
@@ -240,7 +248,7 @@
     const candidates: RunnerCandidate[] = [];
     const warmingUp: RunnerCandidate[] = [];
     const promptTokens = requirements.work?.promptTokens ?? 0;
-    for (const runner of this.#directory.listUsable(service.serviceId)) {
+    for (const runner of this.#listUsable(requirements)) {
       const { runnerId } = runner;
       if (excludedRunnerIds.has(runnerId)) continue;
       if (this.#pauses.isPaused(runner)) continue;
@@ -282,6 +290,7 @@
     const isWaitUseless =
       choice.type === "all_paused" ||
       choice.type === "not_allowed" ||
+      choice.type === "no_software" ||
       (choice.type === "all_limited" && choice.opensInMs > options.maxWaitMs);
     if (options.maxWaitMs <= 0 || isWaitUseless) return choice;
     return await new Promise((resolve) => {
@@ -592,12 +601,33 @@
     for (const item of barred) item.settle({ type: "not_allowed" });
   }
 
-  // True also without any usable runner, as one may be listed soon.
-  #isAllowedAnywhere({
+  #listUsable({
     service,
-    findAllowedRegions,
-  }: Pick<PlacementRequirements, "service" | "findAllowedRegions">): boolean {
+    softwareVersion,
+  }: Pick<
+    PlacementRequirements,
+    "service" | "softwareVersion"
+  >): readonly GatewayRunner[] {
     const usable = this.#directory.listUsable(service.serviceId);
+    return softwareVersion === undefined
+      ? usable
+      : usable.filter((runner) =>
+          isSameSoftware(softwareVersion, runner.softwareVersion),
+        );
+  }
+
+  // A version does not come back once its last runner leaves.
+  #hasSoftware(requirements: PlacementRequirements): boolean {
+    return (
+      requirements.softwareVersion === undefined ||
+      this.#listUsable(requirements).length > 0
+    );
+  }
+
+  // True also without any usable runner, as one may be listed soon.
+  #isAllowedAnywhere(requirements: PlacementRequirements): boolean {
+    const { findAllowedRegions } = requirements;
+    const usable = this.#listUsable(requirements);
     if (usable.length === 0) return true;
     const allowedRegions = findAllowedRegions();
     return usable.some((runner) =>
@@ -625,15 +655,14 @@
   }
 
   // Runners that the request has tried count only if there are no others.
-  #listRemaining({
-    service,
-    excludedRunnerIds,
-    findAllowedRegions,
-  }: PlacementRequirements): readonly GatewayRunner[] {
+  #listRemaining(
+    requirements: PlacementRequirements,
+  ): readonly GatewayRunner[] {
+    const { excludedRunnerIds, findAllowedRegions } = requirements;
     const allowedRegions = findAllowedRegions();
-    const usable = this.#directory
-      .listUsable(service.serviceId)
-      .filter((runner) => this.#rules.isAllowed(runner, allowedRegions));
+    const usable = this.#listUsable(requirements).filter((runner) =>
+      this.#rules.isAllowed(runner, allowedRegions),
+    );
     const others = usable.filter(
       ({ runnerId }) => !excludedRunnerIds.has(runnerId),
     );
--- a/packages/gateway/src/relay/request_relay.ts
+++ b/packages/gateway/src/relay/request_relay.ts
@@ -7,6 +7,7 @@
 import { estimateRetryAfterMs } from "../decisions/estimate_retry_after_ms.js";
 import { FailureBlame } from "../decisions/failure_blame.js";
 import { findQuarantineRefusal } from "../decisions/find_quarantine_refusal.js";
+import { isSameSoftware } from "../decisions/is_same_software.js";
 import type { OutlierScores } from "../decisions/outlier_scores.js";
 import { RateMeter } from "../decisions/rate_meter.js";
 import { refuseWhileStopping } from "../decisions/refuse_while_stopping.js";
@@ -59,6 +60,7 @@
   all_paused: "all runners pause",
   all_limited: "all runners limit their rate",
   not_allowed: "the request may go to none of the runners",
+  no_software: "no runner has the software version of the stream",
   no_runner: "no runner is left",
 } as const;
 /** Only the operator can lift what bars a request everywhere. */
@@ -116,6 +118,8 @@
         ? new StreamSession(response, {
             tokensPerEvent: service.engine?.tokensPerEvent ?? 1,
             lastEventId: context.request.lastEventId,
+            softwareVersion: undefined,
+            onBegun: () => undefined,
             onSurvived: (ageMs) => {
               const { sharedPartIds } = context;
               this.#dependencies.partEvidence.recordLived(sharedPartIds, ageMs);
@@ -167,7 +171,7 @@
       if (context.response.cancelSignal.aborted)
         return this.#giveUp(context, progress);
       if (remainingMs(context) <= 0) return this.#giveUp(context, progress);
-      const runner = await this.#findRunner(context, progress);
+      const runner = await this.#findRunner(context, session, progress);
       if (!runner) {
         progress.booking?.release();
         return this.#giveUp(context, progress);
@@ -207,6 +211,7 @@
 
   async #findRunner(
     context: RequestContext,
+    session: StreamSession | undefined,
     progress: RelayProgress,
   ): Promise<GatewayRunner | undefined> {
     const { continueAt } = progress;
@@ -250,6 +255,7 @@
         targetAtMs: context.receivedAtMs + route.targetLatencyMs,
         shortestTargetMs,
         excludedRunnerIds: progress.excludedRunnerIds,
+        softwareVersion: session?.softwareVersion,
         findAllowedRegions: context.findAllowedRegions,
       },
       {
@@ -310,7 +316,7 @@
       request.work,
       isResumption ? undefined : service.serviceId,
     );
-    session?.setPlacement(placement);
+    session?.setPlacement(placement, runner.softwareVersion);
     const migration = this.#dependencies.migrator.track(context, runner);
     const continueFrom = progress.continueAt?.cacheRef;
     progress.continueAt = undefined;
@@ -345,6 +351,13 @@
         connection.close();
         return { type: "withheld", reason: objection };
       }
+      if (!this.#hasSoftware(runner, session?.softwareVersion)) {
+        connection.close();
+        return {
+          type: "withheld",
+          reason: "the runner has another software version",
+        };
+      }
       const leftMs = remainingMs(context);
       if (leftMs <= 0) {
         connection.close();
@@ -448,6 +461,19 @@
     }
   }
 
+  // The runner may have started again under its id since it was chosen.
+  #hasSoftware(
+    runner: GatewayRunner,
+    softwareVersion: string | undefined,
+  ): boolean {
+    if (softwareVersion === undefined) return true;
+    const current = this.#dependencies.directory.find(runner.runnerId);
+    return (
+      isSameSoftware(softwareVersion, runner.softwareVersion) &&
+      isSameSoftware(softwareVersion, (current ?? runner).softwareVersion)
+    );
+  }
+
   // Returns the final outcome, or undefined if another attempt follows.
   #afterAttempt(
     context: RequestContext,
--- a/packages/gateway/src/relay/run_migrator.ts
+++ b/packages/gateway/src/relay/run_migrator.ts
@@ -69,6 +69,7 @@
             this.#listTargets({
               service,
               excludedRunnerIds: new Set(),
+              softwareVersion: runner.softwareVersion,
               findAllowedRegions: context.findAllowedRegions,
             }),
             {
--- a/packages/gateway/src/relay/stream_session.ts
+++ b/packages/gateway/src/relay/stream_session.ts
@@ -23,12 +23,19 @@
   #longestGapMs = 0;
   #head: RunnerResponse | undefined;
   #placement: Placement | undefined;
+  #softwareVersion: string | undefined;
+  #runSoftwareVersion = "";
+  readonly #onBegun: (softwareVersion: string) => void;
 
   constructor(
     response: CallerResponse,
     options: {
       readonly tokensPerEvent: number;
       readonly lastEventId: number | undefined;
+      /** Set for a stream that its caller takes up. */
+      readonly softwareVersion: string | undefined;
+      /** Called with the first event of the stream. */
+      readonly onBegun: (softwareVersion: string) => void;
       /** Called once a run that began `ageMs` ago has survived its prompt. */
       readonly onSurvived: (ageMs: number) => void;
     },
@@ -36,6 +43,8 @@
     this.#response = response;
     this.#tokensPerEvent = options.tokensPerEvent;
     this.#lastEventId = options.lastEventId;
+    this.#softwareVersion = options.softwareVersion;
+    this.#onBegun = options.onBegun;
     this.#onSurvived = options.onSurvived;
   }
 
@@ -47,6 +56,14 @@
     return this.#lastEventId;
   }
 
+  /**
+   * Version of the software that began the stream, the only one that may go on
+   * with it; undefined before the first event.
+   */
+  get softwareVersion(): string | undefined {
+    return this.#softwareVersion;
+  }
+
   /** Number of events sent to the caller. */
   get eventCount(): number {
     return this.#eventCount;
@@ -75,8 +92,9 @@
   }
 
   /** Begins a run, whose output is recorded on the placement. */
-  setPlacement(placement: Placement): void {
+  setPlacement(placement: Placement, softwareVersion: string): void {
     this.#placement = placement;
+    this.#runSoftwareVersion = softwareVersion;
     this.#runFirstEventAtMs = undefined;
     this.#hasSurvived = false;
     if (this.#eventCount > 0) this.#recordOutput();
@@ -94,6 +112,10 @@
       if (eventId !== last + 1) return "out_of_order";
     }
     if (eventId !== undefined) this.#lastEventId = eventId;
+    if (this.#eventCount === 0) {
+      this.#softwareVersion ??= this.#runSoftwareVersion;
+      this.#onBegun(this.#softwareVersion);
+    }
     this.#eventCount += 1;
     const nowMs = monotonicMs();
     const gapMs = nowMs - (this.#lastEventAtMs ?? nowMs);
