Never tell a refused caller to return at once

runner_rate_limits failed once, beside load: a request that was refused as all runners limit their rate got Retry-After 0.00. The next permit was due just then, so that the time until then rounded to nothing, and its caller would have come back at once, with all others.

The time until a runner opens now has the floor that other refusals have.

--- a/packages/gateway/src/decisions/estimate_retry_after_ms.ts
+++ b/packages/gateway/src/decisions/estimate_retry_after_ms.ts
@@ -8,13 +8,13 @@
 /**
  * Estimates, in milliseconds, when a refused caller should retry: the time to
  * drain the queue at the rate at which slots are freed, with random jitter so
- * that callers do not return at the same time. If all runners pause, none is of
- * use before the first pause ends, however long that takes.
+ * that callers do not return at the same time. If all runners pause, or limit their
+ * rate, none is of use before the first one opens, however long that takes.
  */
 export function estimateRetryAfterMs(load: {
   readonly queuedCount: number;
   readonly freedSlotsPerSecond: number;
-  /** Time until a runner ends its pause, if all runners pause. */
+  /** Time until a runner opens, if all runners pause or limit their rate. */
   readonly pauseEndsInMs?: number | undefined;
   /** Jitter, from 0 to 1. */
   readonly random: number;
@@ -22,7 +22,8 @@
   const { pauseEndsInMs } = load;
   if (pauseEndsInMs !== undefined) {
     const jitterMs = Math.min(MAX_PAUSE_JITTER_MS, pauseEndsInMs / 2);
-    return pauseEndsInMs + load.random * Math.max(MIN_RETRY_AFTER_MS, jitterMs);
+    const endsInMs = Math.max(MIN_RETRY_AFTER_MS, pauseEndsInMs);
+    return endsInMs + load.random * Math.max(MIN_RETRY_AFTER_MS, jitterMs);
   }
   const rate = Math.max(load.freedSlotsPerSecond, 1);
   const drainMs = ((load.queuedCount + 1) / rate) * 1_000;
