Take streams up only at the software version that began them

Cause: nothing told an instance where a stream that it did not carry began; it was placed like a new one.

Change: an instance tells three others, by rendezvous hash of the request id, where its streams begin, while their service may have several versions; one at which a stream is taken up asks them. Where a service has had one version for 20 s no record is needed: peers tell since when they know all versions, and where none has lived longer the store's history shows those that have left.

--- a/packages/coordination/src/datagram_handlers.ts
+++ b/packages/coordination/src/datagram_handlers.ts
@@ -1,8 +1,12 @@
+import type { MessageInitShape } from "@bufbuild/protobuf";
 import type {
   Digest,
   LoadTable,
   PermitAnswer,
   PermitQuery,
+  StreamOriginQuery,
+  StreamOriginSchema,
+  StreamOrigins,
   PlacementQuery,
   ViewQuery,
   ViewState,
@@ -19,6 +23,12 @@
   readonly placementQuery?: (query: PlacementQuery) => boolean;
   /** The peer asks for a permit to send to a runner with a rate limit. */
   readonly permitQuery?: (query: PermitQuery) => PermitAnswer;
+  /** The peer tells where streams began. */
+  readonly streamOrigins?: (origins: StreamOrigins) => void;
+  /** The peer asks where a stream began. */
+  readonly streamOriginQuery?: (
+    query: StreamOriginQuery,
+  ) => MessageInitShape<typeof StreamOriginSchema>;
   /** The peer states what has been placed on runners. */
   readonly loads?: (from: DatagramEndpoint, loads: LoadTable) => void;
 }
--- a/packages/coordination/src/fit_digest.ts
+++ b/packages/coordination/src/fit_digest.ts
@@ -4,6 +4,7 @@
   type MessageShape,
 } from "@bufbuild/protobuf";
 import {
+  DepartedSoftwareSchema,
   MemberSchema,
   PartSuspicionSchema,
   RunnerRateSchema,
@@ -66,9 +67,21 @@
       leftBytes -= dropLastPart(fitted);
     }
   }
+  if (leftBytes > 0) leftBytes -= dropSoftware(fitted);
   return leftBytes > 0 ? undefined : fitted;
 }
 
+/** Without the departed versions, it must not tell since when all are known. */
+function dropSoftware(digest: Digest): number {
+  const bytes = digest.departedSoftware.reduce(
+    (sum, software) => sum + sizeOf(DepartedSoftwareSchema, software),
+    0,
+  );
+  digest.departedSoftware = [];
+  delete digest.softwareKnownMs;
+  return bytes;
+}
+
 function countDecisive(suspicions: Digest["suspicions"]): number {
   return suspicions.filter(
     ({ lostRunners, clearedRunners }) =>
--- a/packages/coordination/src/gossip_extension.ts
+++ b/packages/coordination/src/gossip_extension.ts
@@ -1,5 +1,6 @@
 import type { MessageInitShape } from "@bufbuild/protobuf";
 import type {
+  DepartedSoftwareSchema,
   Digest,
   EvacuationsSchema,
   MemberSchema,
@@ -17,6 +18,10 @@
     readonly evacuations?: MessageInitShape<typeof EvacuationsSchema>;
     readonly members: MessageInitShape<typeof MemberSchema>[];
     readonly runnerShares: MessageInitShape<typeof RunnerShareSchema>[];
+    readonly softwareKnownMs?: number;
+    readonly departedSoftware?: MessageInitShape<
+      typeof DepartedSoftwareSchema
+    >[];
     readonly runnerRates?: MessageInitShape<typeof RunnerRateSchema>[];
   };
   /**
--- a/packages/coordination/src/peer_datagrams.ts
+++ b/packages/coordination/src/peer_datagrams.ts
@@ -10,12 +10,16 @@
   LoadTableSchema,
   PeerDatagramSchema,
   PermitQuerySchema,
+  StreamOriginQuerySchema,
+  StreamOriginSchema,
+  StreamOriginsSchema,
   PlacementAnswerSchema,
   PlacementQuerySchema,
   ViewQuerySchema,
   type Digest,
   type PeerDatagram,
   type PermitAnswer,
+  type StreamOrigin,
   type ViewState,
 } from "@jujubeladder/protocol";
 import { describeError } from "@jujubeladder/utils";
@@ -146,6 +150,31 @@
     return answer?.case === "permitAnswer" ? answer.value : undefined;
   }
 
+  /** Asks a peer where a stream began; undefined if no answer arrives in time. */
+  async askStreamOrigin(
+    peer: DatagramEndpoint,
+    query: MessageInitShape<typeof StreamOriginQuerySchema>,
+  ): Promise<StreamOrigin | undefined> {
+    const answer = await this.#ask(peer, {
+      case: "streamOriginQuery",
+      value: create(StreamOriginQuerySchema, query),
+    });
+    return answer?.case === "streamOriginAnswer" ? answer.value : undefined;
+  }
+
+  /** Tells a peer where streams began, which it may miss. */
+  sendStreamOrigins(
+    peer: DatagramEndpoint,
+    origins: MessageInitShape<typeof StreamOriginsSchema>,
+  ): void {
+    const value = create(StreamOriginsSchema, origins);
+    this.#send(peer, {
+      exchangeId: 0,
+      isAnswer: false,
+      content: { case: "streamOrigins", value },
+    });
+  }
+
   /** Tells a peer what has been placed on runners, which it may miss. */
   sendLoads(
     peer: DatagramEndpoint,
@@ -296,8 +325,18 @@
       const value = handlers.permitQuery?.(content.value);
       return value && { case: "permitAnswer", value };
     }
+    case "streamOrigins":
+      handlers.streamOrigins?.(content.value);
+      return undefined;
+    case "streamOriginQuery": {
+      const origin = handlers.streamOriginQuery?.(content.value);
+      if (!origin) return undefined;
+      const value = create(StreamOriginSchema, origin);
+      return { case: "streamOriginAnswer", value };
+    }
     case "placementAnswer":
     case "permitAnswer":
+    case "streamOriginAnswer":
     case undefined:
       return undefined;
   }
--- /dev/null
+++ b/packages/gateway/src/__tests__/software_sightings.test.ts
@@ -0,0 +1,80 @@
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { findDepartedSoftware } from "../decisions/find_departed_software.js";
+import type { GatewayRunner } from "../model/gateway_runner.js";
+import { SoftwareSightings } from "../views/software_sightings.js";
+import { createRunner } from "./create_runner.js";
+
+const OLD = createRunner("old", { softwareVersion: "v1" });
+const NEW = createRunner("new", { softwareVersion: "v2" });
+const ALL = { knownForMs: Number.POSITIVE_INFINITY, departed: [] };
+
+function create(listed: readonly GatewayRunner[]): SoftwareSightings {
+  const sightings = new SoftwareSightings(() => listed);
+  sightings.recordList();
+  return sightings;
+}
+
+test("one listed version is not taken for the only one without its history", () => {
+  const sightings = create([OLD]);
+  assert.is(sightings.findOnly("writer"), undefined);
+  sightings.recordHistory({ knownForMs: 5_000, departed: [] });
+  assert.is(sightings.findOnly("writer"), undefined);
+  sightings.recordHistory(ALL);
+  assert.is(sightings.findOnly("writer"), "v1");
+});
+
+test("a version whose last runner has left still counts", () => {
+  const sightings = create([NEW]);
+  sightings.recordHistory(ALL);
+  sightings.recordDeparture(OLD);
+  assert.is(sightings.findOnly("writer"), undefined);
+  assert.is(sightings.findOnly("other"), undefined);
+});
+
+test("a version that a peer has seen leave counts", () => {
+  const teller = create([NEW]);
+  teller.recordHistory(ALL);
+  teller.recordDeparture(OLD);
+  const told = create([NEW]);
+  const departed = teller.listDeparted();
+  told.recordHistory({ knownForMs: teller.knownForMs, departed });
+  assert.is(told.findOnly("writer"), undefined);
+});
+
+test("a runner without a version is not taken for the only version", () => {
+  const sightings = create([createRunner("odd", { softwareVersion: "" })]);
+  sightings.recordHistory(ALL);
+  assert.is(sightings.findOnly("writer"), undefined);
+});
+
+test("a history tells of the versions that were listed and are not", () => {
+  const changes = [
+    { type: "put", runner: OLD },
+    { type: "put", runner: NEW },
+    { type: "removed", runnerId: "old" },
+  ] as const;
+  const departed = findDepartedSoftware(changes, (runnerId) =>
+    runnerId === "new" ? NEW : undefined,
+  );
+  assert.equal(departed, [
+    { serviceId: "writer", softwareVersion: "v1", ageMs: 0 },
+  ]);
+});
+
+test("a history that removes a runner of an unknown version tells nothing", () => {
+  const changes = [{ type: "removed", runnerId: "old" }] as const;
+  assert.is(
+    findDepartedSoftware(changes, () => undefined),
+    undefined,
+  );
+});
+
+test("a runner that started again at another version is told of", () => {
+  const changes = [{ type: "put", runner: OLD }] as const;
+  const restarted = { ...OLD, startedAtMs: 2, softwareVersion: "v2" };
+  const departed = findDepartedSoftware(changes, () => restarted);
+  assert.is(departed?.[0]?.softwareVersion, "v1");
+});
+
+test.run();
--- a/packages/gateway/src/mesh/create_gossip_extension.ts
+++ b/packages/gateway/src/mesh/create_gossip_extension.ts
@@ -6,10 +6,13 @@
 import type { ActiveConfig } from "../views/active_config.js";
 import type { RunnerDirectory } from "../views/runner_directory.js";
 import type { RunnerRateLimits } from "../views/runner_rate_limits.js";
+import type { SoftwareSightings } from "../views/software_sightings.js";
 import { RefusedEntryLog } from "../views/refused_entry_log.js";
 import { decodeEvacuations } from "./decode_evacuations.js";
 import { decodeRunnerRate } from "./decode_runner_rate.js";
+import { decodeSoftware } from "./decode_software.js";
 import { encodeEvacuations } from "./encode_evacuations.js";
+import { encodeSoftware } from "./encode_software.js";
 import { encodeRunnerRate } from "./encode_runner_rate.js";
 import type { PeerRoster } from "./peer_roster.js";
 
@@ -33,12 +36,13 @@
   readonly activeConfig: ActiveConfig;
   readonly evacuatedZones?: EvacuatedZones | undefined;
   readonly rateLimits?: RunnerRateLimits | undefined;
+  readonly sightings?: SoftwareSightings | undefined;
   readonly directory: RunnerDirectory;
   readonly store: Pick<MetadataStore, "era" | "recordPeerEra">;
   readonly logger: Logger;
 }): GossipExtension {
   const { roster, loadTracker, activeConfig, directory, store } = dependencies;
-  const { evacuatedZones, rateLimits } = dependencies;
+  const { evacuatedZones, rateLimits, sightings } = dependencies;
   const refusedPeers = new RefusedEntryLog(dependencies.logger, "peer_refused");
   const record = (peer: Parameters<PeerRoster["record"]>[0]): boolean => {
     const isPeer = roster.record(peer);
@@ -67,6 +71,7 @@
           peakTokens: toUint32(load.peakTokens),
           unreadTokens: toUint32(load.unreadTokens),
         })),
+        ...encodeSoftware(sightings),
         runnerRates: (rateLimits?.listLatest(MAX_RUNNER_RATES) ?? []).map(
           encodeRunnerRate,
         ),
@@ -94,6 +99,8 @@
             .map(({ runnerId, ...share }) => [runnerId, share]),
         ),
       });
+      const software = decodeSoftware(digest);
+      if (software) sightings?.recordHistory(software);
       for (const rate of digest.runnerRates.map(decodeRunnerRate)) {
         if (rate) rateLimits?.mergePeer(rate);
       }
--- a/packages/gateway/src/mesh/create_membership.ts
+++ b/packages/gateway/src/mesh/create_membership.ts
@@ -15,6 +15,7 @@
 import type { MetadataStore } from "../model/metadata_store.js";
 import type { EvacuatedZones } from "../views/evacuated_zones.js";
 import type { RunnerRateLimits } from "../views/runner_rate_limits.js";
+import type { SoftwareSightings } from "../views/software_sightings.js";
 import type { ActiveConfig } from "../views/active_config.js";
 import type { RunnerDirectory } from "../views/runner_directory.js";
 import { createGossipExtension } from "./create_gossip_extension.js";
@@ -40,6 +41,7 @@
   readonly activeConfig: ActiveConfig;
   readonly evacuatedZones?: EvacuatedZones;
   readonly rateLimits?: RunnerRateLimits;
+  readonly sightings?: SoftwareSightings;
   readonly directory: RunnerDirectory;
   readonly roster: PeerRoster;
   readonly peers: PeerDirectory;
--- /dev/null
+++ b/packages/gateway/src/mesh/encode_software.ts
@@ -0,0 +1,30 @@
+import type { MessageInitShape } from "@bufbuild/protobuf";
+import type { DepartedSoftwareSchema } from "@jujubeladder/protocol";
+import type { SoftwareSightings } from "../views/software_sightings.js";
+
+/** With more of them, a digest does not tell for how long all are known. */
+const MAX_DEPARTED = 8;
+
+/** Encodes which software versions the services have had, for a peer. */
+export function encodeSoftware(sightings: SoftwareSightings | undefined): {
+  readonly softwareKnownMs?: number;
+  readonly departedSoftware?: MessageInitShape<typeof DepartedSoftwareSchema>[];
+} {
+  if (!sightings || sightings.knownForMs === 0) return {};
+  const departed = sightings.listDeparted();
+  const departedSoftware = departed.slice(0, MAX_DEPARTED).map((software) => ({
+    ...software,
+    ageMs: Math.round(software.ageMs),
+  }));
+  return departed.length > MAX_DEPARTED
+    ? { departedSoftware }
+    : {
+        departedSoftware,
+        softwareKnownMs: Math.min(
+          Math.floor(sightings.knownForMs),
+          MAX_KNOWN_MS,
+        ),
+      };
+}
+
+const MAX_KNOWN_MS = 3_600_000;
--- /dev/null
+++ b/packages/gateway/src/mesh/stream_origin_exchange.ts
@@ -0,0 +1,126 @@
+import type { PeerDatagrams } from "@jujubeladder/coordination";
+import type { StreamOrigin as StreamOriginMessage } from "@jujubeladder/protocol";
+import { rankByRendezvous, settleWithin } from "@jujubeladder/utils";
+import type { StreamOrigin } from "../model/stream_origin.js";
+import type { StreamOrigins } from "../views/stream_origins.js";
+import { parseAddress } from "./parse_address.js";
+
+/** A loss of a third of the fleet takes all copies of one origin in 27. */
+const COPIES = 3;
+/** Origins of this time are told together. */
+const TELL_DELAY_MS = 10;
+/** Fits into one datagram with ids and names of usual length. */
+const MAX_ORIGINS_TOLD = 16;
+/** Two round trips between regions, and a busy peer. */
+const ANSWER_TIMEOUT_MS = 150;
+const MAX_NAME_LENGTH = 200;
+
+/** Dependencies of the exchange. */
+interface StreamOriginDependencies {
+  readonly ownId: string;
+  readonly origins: StreamOrigins;
+  readonly listPeerIds: () => readonly string[];
+  readonly datagrams: Pick<
+    PeerDatagrams,
+    "sendStreamOrigins" | "askStreamOrigin"
+  >;
+}
+
+/**
+ * Tells a few other instances, by rendezvous hash of the request id, where streams
+ * began, and asks them where a stream did that a caller takes up here.
+ */
+export class StreamOriginExchange {
+  readonly #dependencies: StreamOriginDependencies;
+  /** What is to be told, by peer. */
+  readonly #untold = new Map<string, StreamOriginMessageInit[]>();
+  #timer: NodeJS.Timeout | undefined;
+
+  constructor(dependencies: StreamOriginDependencies) {
+    this.#dependencies = dependencies;
+  }
+
+  tell(requestId: string, origin: StreamOrigin): void {
+    for (const peerId of this.#pickHolders(requestId)) {
+      const untold = this.#untold.get(peerId) ?? [];
+      untold.push({ requestId, ...origin });
+      this.#untold.set(peerId, untold);
+    }
+    this.#timer ??= setTimeout(() => {
+      this.#timer = undefined;
+      this.#flush();
+    }, TELL_DELAY_MS);
+  }
+
+  /** Asks the instances that would have been told; undefined if none knows. */
+  async find(requestId: string): Promise<StreamOrigin | undefined> {
+    const { datagrams } = this.#dependencies;
+    const asked = this.#pickHolders(requestId).flatMap((peerId) => {
+      const address = parseAddress(peerId);
+      return address ? [datagrams.askStreamOrigin(address, { requestId })] : [];
+    });
+    if (asked.length === 0) return undefined;
+    const first = Promise.any(
+      asked.map(async (answer) => {
+        const origin = decodeOrigin(await answer);
+        if (!origin) throw new Error("the peer does not know");
+        return origin;
+      }),
+    ).catch(() => undefined);
+    return await settleWithin(first, ANSWER_TIMEOUT_MS);
+  }
+
+  /** Records what a peer tells. */
+  record(messages: readonly StreamOriginMessage[]): void {
+    for (const message of messages) {
+      const origin = decodeOrigin(message);
+      if (origin && message.requestId)
+        this.#dependencies.origins.record(message.requestId, origin);
+    }
+  }
+
+  /** Answers a peer that asks. */
+  answer(requestId: string): StreamOriginMessageInit {
+    const origin = this.#dependencies.origins.find(requestId);
+    return {
+      requestId,
+      serviceId: origin?.serviceId ?? "",
+      softwareVersion: origin?.softwareVersion ?? "",
+    };
+  }
+
+  #pickHolders(requestId: string): readonly string[] {
+    const { ownId, listPeerIds } = this.#dependencies;
+    return rankByRendezvous(requestId, [ownId, ...listPeerIds()])
+      .slice(0, COPIES + 1)
+      .filter((id) => id !== ownId)
+      .slice(0, COPIES);
+  }
+
+  #flush(): void {
+    for (const [peerId, origins] of this.#untold) {
+      const address = parseAddress(peerId);
+      for (let first = 0; first < origins.length; first += MAX_ORIGINS_TOLD) {
+        const told = origins.slice(first, first + MAX_ORIGINS_TOLD);
+        if (address)
+          this.#dependencies.datagrams.sendStreamOrigins(address, {
+            origins: told,
+          });
+      }
+    }
+    this.#untold.clear();
+  }
+}
+
+type StreamOriginMessageInit = StreamOrigin & { readonly requestId: string };
+
+function decodeOrigin(
+  message: StreamOriginMessage | undefined,
+): StreamOrigin | undefined {
+  if (!message) return undefined;
+  const { serviceId, softwareVersion } = message;
+  const areNames = [serviceId, softwareVersion].every(
+    (name) => name !== "" && name.length <= MAX_NAME_LENGTH,
+  );
+  return areNames ? { serviceId, softwareVersion } : undefined;
+}
--- a/packages/gateway/src/mod.ts
+++ b/packages/gateway/src/mod.ts
@@ -29,6 +29,7 @@
 export type { RoutedService } from "./model/routed_service.js";
 export type { RunnerResponse } from "./model/runner_response.js";
 export type { RunnerNotice } from "./model/runner_notice.js";
+export type { RunnerHistory } from "./model/runner_history.js";
 export type { RunnerChange } from "./model/runner_change.js";
 export { StoreEraTracker } from "./views/store_era_tracker.js";
 export type { StorePosition } from "./model/store_position.js";
--- a/packages/gateway/src/model/metadata_store.ts
+++ b/packages/gateway/src/model/metadata_store.ts
@@ -2,6 +2,7 @@
 import type { EvacuationUpdate } from "./evacuation_update.js";
 import type { GatewayRunner } from "./gateway_runner.js";
 import type { RunnerChange } from "./runner_change.js";
+import type { RunnerHistory } from "./runner_history.js";
 import type { StorePosition } from "./store_position.js";
 import type { WatchOutcome } from "./watch_outcome.js";
 
@@ -51,6 +52,14 @@
       string
     >
   >;
+  /**
+   * Reads the changes to the list of runners up to `asOf`, as far back as the
+   * store keeps them; absent if it keeps none.
+   */
+  readRunnerHistory?(options: {
+    readonly asOf: StorePosition;
+    readonly timeoutMs: number;
+  }): Promise<Result<RunnerHistory, string>>;
   /** Long poll for changes to the list of runners since `asOf`. */
   watchRunners(options: {
     readonly asOf: StorePosition;
--- a/packages/gateway/src/relay/request_relay.ts
+++ b/packages/gateway/src/relay/request_relay.ts
@@ -38,6 +38,7 @@
 import type { RetryBooker } from "./retry_booker.js";
 import type { RunMigrator } from "./run_migrator.js";
 import type { RunnerNotices } from "./runner_notices.js";
+import type { StreamTakeUps } from "./stream_take_ups.js";
 import { StreamSession } from "./stream_session.js";
 
 /** Connecting takes one round trip, which is under 100 ms between regions. */
@@ -65,6 +66,8 @@
 } as const;
 /** Only the operator can lift what bars a request everywhere. */
 const NOT_ALLOWED_RETRY_MS = 1_000;
+/** Another instance may know it. */
+const UNKNOWN_SOFTWARE_RETRY_MS = 500;
 /** Engine priority per level of request priority; 0 is served first. */
 const ENGINE_PRIORITY_STEP = 2;
 
@@ -83,6 +86,7 @@
   readonly quarantine: Quarantine;
   readonly partQuarantine: PartQuarantine;
   readonly partEvidence: PartEvidenceRecorder;
+  readonly takeUps: StreamTakeUps;
   readonly endChecker: EndChecker;
   readonly checkForCrash: (
     runner: GatewayRunner,
@@ -113,13 +117,27 @@
    */
   async serve(context: RequestContext): Promise<FinalOutcome> {
     const { service, response } = context;
+    const { takeUps } = this.#dependencies;
+    const isTakeUp = takeUps.isTakeUp(context);
+    const softwareVersion = isTakeUp
+      ? await takeUps.findVersion(context)
+      : undefined;
+    if (isTakeUp && softwareVersion === undefined) {
+      const reason = "the software version of the stream is not known";
+      const retryAfterMs = UNKNOWN_SOFTWARE_RETRY_MS * (1 + Math.random() / 2);
+      return response.disconnectSignal.aborted
+        ? { type: "caller_left" }
+        : refuse({ type: "not_run", reason, retryAfterMs });
+    }
     const session =
       context.route.retryPolicy.type === "stream"
         ? new StreamSession(response, {
             tokensPerEvent: service.engine?.tokensPerEvent ?? 1,
             lastEventId: context.request.lastEventId,
-            softwareVersion: undefined,
-            onBegun: () => undefined,
+            softwareVersion,
+            onBegun: (version) => {
+              takeUps.recordBegun(context, version);
+            },
             onSurvived: (ageMs) => {
               const { sharedPartIds } = context;
               this.#dependencies.partEvidence.recordLived(sharedPartIds, ageMs);
@@ -149,6 +167,7 @@
       outcome.type === "delivered" && outcome.statusCode < 500;
     for (const runnerId of progress.failures.listBlamed(hasSucceeded))
       this.#dependencies.outliers.record(runnerId, true);
+    if (session) takeUps.recordEnded(context);
     if (session)
       recordStream(this.#dependencies, context, { session, progress });
     return outcome;
--- /dev/null
+++ b/packages/gateway/src/relay/stream_take_ups.ts
@@ -0,0 +1,113 @@
+import type { Logger } from "@jujubeladder/logger";
+import type { Metrics } from "@jujubeladder/metrics";
+import { isSameSoftware } from "../decisions/is_same_software.js";
+import type { StreamOriginExchange } from "../mesh/stream_origin_exchange.js";
+import type { StreamOrigin } from "../model/stream_origin.js";
+import type { SoftwareSightings } from "../views/software_sightings.js";
+import type { StreamOrigins } from "../views/stream_origins.js";
+import type { RequestContext } from "./request_context.js";
+
+/** Dependencies of the take-ups. */
+interface TakeUpDependencies {
+  readonly origins: StreamOrigins;
+  readonly exchange: Pick<StreamOriginExchange, "tell" | "find">;
+  readonly sightings: SoftwareSightings;
+  readonly metrics: Metrics;
+  readonly logger: Logger;
+}
+
+interface ActiveStream extends StreamOrigin {
+  isTold: boolean;
+}
+
+/**
+ * Finds the software version that began a stream that a caller takes up, and keeps
+ * what that needs: an instance tells some others where its streams began while
+ * their service may have several versions.
+ */
+export class StreamTakeUps {
+  readonly #dependencies: TakeUpDependencies;
+  readonly #active = new Map<string, ActiveStream>();
+
+  constructor(dependencies: TakeUpDependencies) {
+    this.#dependencies = dependencies;
+  }
+
+  /** True if the caller has events of the stream already. */
+  isTakeUp({ request, route }: RequestContext): boolean {
+    return (
+      route.retryPolicy.type === "stream" &&
+      request.lastEventId !== undefined &&
+      (request.lastEventId > 0 || request.resumedRequestId !== undefined)
+    );
+  }
+
+  /** Returns the version that began the stream; undefined if it is not known. */
+  async findVersion(context: RequestContext): Promise<string | undefined> {
+    const { origins, exchange, sightings, metrics, logger } =
+      this.#dependencies;
+    const { request, service } = context;
+    const { serviceId } = service;
+    const id = request.resumedRequestId;
+    const own = id === undefined ? undefined : origins.find(id);
+    const only = own ? undefined : sightings.findOnly(serviceId);
+    const told =
+      own || only !== undefined || id === undefined
+        ? undefined
+        : await exchange.find(id);
+    const known = own ?? told;
+    // The route may have moved to another service since.
+    const version =
+      only ??
+      (known?.serviceId === serviceId ? known.softwareVersion : undefined);
+    const isKnown = version !== undefined && isSameSoftware(version, version);
+    metrics.count(isKnown ? "streams_taken_up" : "streams_not_taken_up");
+    logger.info("stream_taken_up", {
+      request: request.requestId,
+      resumes: id,
+      last_event_id: request.lastEventId,
+      service: serviceId,
+      software_version: version,
+      source: own
+        ? "own"
+        : only !== undefined
+          ? "only_version"
+          : told
+            ? "peer"
+            : "unknown",
+      began_at_service: known?.serviceId,
+    });
+    return isKnown ? version : undefined;
+  }
+
+  /** Records the first event of a stream here. */
+  recordBegun(
+    { request, service: { serviceId } }: RequestContext,
+    softwareVersion: string,
+  ): void {
+    const id = request.resumedRequestId ?? request.requestId;
+    const origin = { serviceId, softwareVersion };
+    this.#dependencies.origins.record(id, origin);
+    this.#active.set(id, { ...origin, isTold: false });
+    this.#tellIfNeeded(id);
+  }
+
+  recordEnded({ request }: RequestContext): void {
+    this.#active.delete(request.resumedRequestId ?? request.requestId);
+  }
+
+  /** Tells of the streams that began before their service had several versions. */
+  tellActive(): void {
+    for (const id of this.#active.keys()) this.#tellIfNeeded(id);
+  }
+
+  #tellIfNeeded(id: string): void {
+    const { sightings, exchange } = this.#dependencies;
+    const stream = this.#active.get(id);
+    if (!stream || stream.isTold) return;
+    if (!sightings.mayHaveSeveral(stream.serviceId)) return;
+    stream.isTold = true;
+    const { serviceId, softwareVersion } = stream;
+    exchange.tell(id, { serviceId, softwareVersion });
+  }
+}
--- a/packages/gateway/src/server/gateway_instance.ts
+++ b/packages/gateway/src/server/gateway_instance.ts
@@ -37,6 +37,7 @@
 import { PeerStoreReaderProvider } from "../mesh/peer_store_reader_provider.js";
 import { createViewHandlers } from "../mesh/create_view_handlers.js";
 import { readViewState } from "../mesh/read_view_state.js";
+import { StreamOriginExchange } from "../mesh/stream_origin_exchange.js";
 import { ViewFollowers } from "../mesh/view_followers.js";
 import { ViewPoller } from "../mesh/view_poller.js";
 import type { EngineControl } from "../model/engine_control.js";
@@ -51,6 +52,7 @@
 import { PlacementScheduler } from "../relay/placement_scheduler.js";
 import { RequestRelay } from "../relay/request_relay.js";
 import { RetryBooker } from "../relay/retry_booker.js";
+import { StreamTakeUps } from "../relay/stream_take_ups.js";
 import { RunMigrator } from "../relay/run_migrator.js";
 import { RunnerNotices } from "../relay/runner_notices.js";
 import { RESPONSE_MEMORY } from "../transport/response_memory.js";
@@ -62,6 +64,9 @@
 import { syncRunners } from "../views/sync_runners.js";
 import { RunnerDirectory } from "../views/runner_directory.js";
 import { RunnerPauses } from "../views/runner_pauses.js";
+import { SoftwareSightings } from "../views/software_sightings.js";
+import { StreamOrigins } from "../views/stream_origins.js";
+import { readSoftwareHistory } from "../views/read_software_history.js";
 import { RunnerRateLimits } from "../views/runner_rate_limits.js";
 import { RunnerWatchCache } from "../views/runner_watch_cache.js";
 import { StoreReadHealth } from "../views/store_read_health.js";
@@ -78,6 +83,8 @@
 const MIN_FLEET_SIZE = 10;
 /** A request is quarantined after the loss of this many runner incarnations. */
 const QUARANTINE_THRESHOLD = 3;
+/** What stores keep that state no time. */
+const DEFAULT_HISTORY_MS = 20_000;
 const HOUSEKEEPING_INTERVAL_MS = 500;
 /** Served beside the metrics, which callers do not reach. */
 const EXPLAIN_PATH = "/explain";
@@ -92,6 +99,8 @@
   readonly #evacuatedZones: EvacuatedZones;
   readonly #rateLimits: RunnerRateLimits;
   readonly #permits: RatePermits;
+  readonly #sightings: SoftwareSightings;
+  readonly #originExchange: StreamOriginExchange;
   readonly #pool = new ConnectionPool();
   readonly #roster: PeerRoster;
   readonly #membership: Membership;
@@ -145,6 +154,13 @@
     this.#directory = new RunnerDirectory(logger);
     this.#evacuatedZones = new EvacuatedZones(logger);
     this.#rateLimits = new RunnerRateLimits(logger);
+    this.#sightings = new SoftwareSightings(() => this.#directory.listAll());
+    this.#directory.events.on("dropped", (runner) => {
+      this.#sightings.recordDeparture(runner);
+    });
+    this.#directory.events.on("listRead", () => {
+      this.#sightings.recordList();
+    });
     const coldRunners = new ColdRunners();
     this.#directory.events.on("started", (runner) => {
       coldRunners.recordStart(runner);
@@ -226,6 +242,7 @@
       activeConfig: this.#activeConfig,
       evacuatedZones: this.#evacuatedZones,
       rateLimits: this.#rateLimits,
+      sightings: this.#sightings,
       directory: this.#directory,
       roster: this.#roster,
       peers: this.#peers,
@@ -236,6 +253,24 @@
       partEvidence: partQuarantine,
       logger,
     });
+    const origins = new StreamOrigins();
+    this.#originExchange = new StreamOriginExchange({
+      ownId: ownAddress,
+      origins,
+      listPeerIds: () =>
+        this.#roster.listInstances().map(({ instanceId }) => instanceId),
+      datagrams: this.#peerDatagrams,
+    });
+    const takeUps = new StreamTakeUps({
+      origins,
+      exchange: this.#originExchange,
+      sightings: this.#sightings,
+      metrics: this.#metrics,
+      logger,
+    });
+    this.#directory.events.on("changed", () => {
+      takeUps.tellActive();
+    });
     const crashDetector = new CrashDetector({
       directory: this.#directory,
       quarantine,
@@ -328,6 +363,7 @@
       quarantine,
       partQuarantine,
       partEvidence,
+      takeUps,
       endChecker: new EndChecker(logger),
       checkForCrash: (runner, request) => {
         crashDetector.checkForCrash(runner, request);
@@ -388,6 +424,17 @@
       health: this.#runnersHealth,
     });
     void this.#leavePoller.run(signal);
+    if (settings.isFirstStart) this.#sightings.recordFirstStart();
+    void readSoftwareHistory({
+      store: this.#store,
+      directory: this.#directory,
+      watchCache: this.#watchCache,
+      sightings: this.#sightings,
+      isReader: () => this.#readerProvider.find() === undefined,
+      historyMs: settings.storeHistoryMs ?? DEFAULT_HISTORY_MS,
+      logger: this.#logger,
+      signal,
+    });
     const { readiness, metrics } = settings;
     this.#servers.push(
       await serveText(readiness, (path) => ({
@@ -444,6 +491,11 @@
       },
       placementQuery: (query) =>
         this.#sharesLoads ? this.#decidePlacement(query) : true,
+      streamOrigins: ({ origins }) => {
+        this.#originExchange.record(origins);
+      },
+      streamOriginQuery: ({ requestId }) =>
+        this.#originExchange.answer(requestId),
       permitQuery: (query) => this.#permits.answer(query),
       loads: (from, loads) => {
         this.#loadExchange.handleReport(toAddress(from), loads);
--- a/packages/gateway/src/server/gateway_settings.ts
+++ b/packages/gateway/src/server/gateway_settings.ts
@@ -38,6 +38,8 @@
     | undefined;
   /** Limit of the fleet for cold runners; undefined sets none. */
   readonly coldLimit?: ColdLimit | undefined;
+  /** For how long the store keeps its history. */
+  readonly storeHistoryMs?: number | undefined;
   /** Time between the stop signal and the forced kill of the process. */
   readonly stopGraceMs: number;
 }
--- a/packages/gateway/src/views/runner_directory.ts
+++ b/packages/gateway/src/views/runner_directory.ts
@@ -33,6 +33,10 @@
     /** An incarnation was stated to be leaving; not by a peer. */
     stated: string;
     changed: undefined;
+    /** An incarnation is not listed any more. */
+    dropped: GatewayRunner;
+    /** The whole list was read. */
+    listRead: undefined;
   }>();
   readonly #logger: Logger;
   readonly #runners = new Map<string, GatewayRunner>();
@@ -57,6 +61,11 @@
     return this.#runners.size;
   }
 
+  /** Lists all runners, also those that are leaving. */
+  listAll(): Iterable<GatewayRunner> {
+    return this.#runners.values();
+  }
+
   find(runnerId: string): GatewayRunner | undefined {
     return this.#runners.get(runnerId);
   }
@@ -129,6 +138,7 @@
     for (const runner of runners) this.#add(runner, { type: "listing", asOf });
     // An entry of an earlier start does not list the known one.
     this.#hasList ||= runners.length > 0;
+    if (runners.length > 0) void this.events.emit("listRead");
     const listed = new Set(runners.map(toIncarnationId));
     for (const runner of [...this.#runners.values()]) {
       if (!listed.has(toIncarnationId(runner)))
@@ -180,7 +190,10 @@
     // An update on an earlier incarnation may arrive late.
     if (known && known.startedAtMs > runner.startedAtMs) return;
     const isNew = known?.startedAtMs !== runner.startedAtMs;
-    if (known && isNew) this.markLeaving(toIncarnationId(known), "replaced");
+    if (known && isNew) {
+      this.markLeaving(toIncarnationId(known), "replaced");
+      void this.events.emit("dropped", known);
+    }
     if (isNew) this.#pendingRemovals.delete(runnerId);
     else this.#pendingRemovals.cancelIfListed(runnerId, sighting.asOf);
     if (known) this.#forgetAddress(known);
@@ -267,6 +280,7 @@
     if (runner.state === "leaving" && !this.#pendingRemovals.isInGrace)
       this.#departed.add(incarnationId);
     this.#runners.delete(runner.runnerId);
+    void this.events.emit("dropped", runner);
     this.#forgetAddress(runner);
     this.#sightedAsOf.delete(runner.runnerId);
     this.#usable.clear();
--- /dev/null
+++ b/packages/gateway/src/views/software_sightings.ts
@@ -0,0 +1,122 @@
+import { monotonicMs } from "@jujubeladder/utils";
+import type { DepartedSoftware } from "../model/departed_software.js";
+import type { GatewayRunner } from "../model/gateway_runner.js";
+
+/** Longer than from the last listing of a runner until its streams are taken up. */
+const RETENTION_MS = 40_000;
+/** How far back all versions must be known to tell that there was only one. */
+const REQUIRED_MS = 20_000;
+const MAX_DEPARTED = 1_000;
+
+/**
+ * Which versions of its software each service has had lately, and for how long
+ * this instance, or those that it heard it from, has known all of them.
+ */
+export class SoftwareSightings {
+  readonly #listRunners: () => Iterable<GatewayRunner>;
+  /** When each version that a runner had was last listed, by service. */
+  readonly #departedAtMs = new Map<string, Map<string, number>>();
+  #knownSinceMs = Number.POSITIVE_INFINITY;
+
+  /** `listRunners` lists all runners that are listed, also those that leave. */
+  constructor(listRunners: () => Iterable<GatewayRunner>) {
+    this.#listRunners = listRunners;
+  }
+
+  /** For how long all versions have been known. */
+  get knownForMs(): number {
+    return Math.max(0, monotonicMs() - this.#knownSinceMs);
+  }
+
+  /** Records that no instance of the fleet has run before, so that no stream has. */
+  recordFirstStart(): void {
+    this.#extend(Number.NEGATIVE_INFINITY);
+  }
+
+  /** Records that the whole list of runners has been read. */
+  recordList(): void {
+    this.#extend(monotonicMs());
+  }
+
+  /** Records a runner that is not listed any more, or under another version. */
+  recordDeparture({ serviceId, softwareVersion }: GatewayRunner): void {
+    this.#depart({ serviceId, softwareVersion, ageMs: 0 });
+  }
+
+  /** Records what another source knows of the time before now. */
+  recordHistory(history: {
+    readonly knownForMs: number;
+    readonly departed: readonly DepartedSoftware[];
+  }): void {
+    for (const departed of history.departed) this.#depart(departed);
+    this.#extend(monotonicMs() - Math.min(history.knownForMs, RETENTION_MS));
+  }
+
+  /** Lists the versions that are not listed any more, for a peer. */
+  listDeparted(): readonly DepartedSoftware[] {
+    const nowMs = monotonicMs();
+    return [...this.#departedAtMs].flatMap(([serviceId, versions]) =>
+      [...versions].flatMap(([softwareVersion, atMs]) => {
+        const ageMs = nowMs - atMs;
+        return ageMs < RETENTION_MS
+          ? [{ serviceId, softwareVersion, ageMs }]
+          : [];
+      }),
+    );
+  }
+
+  /**
+   * The only version that the service has had lately; undefined if there were
+   * several, or may have been.
+   */
+  findOnly(serviceId: string): string | undefined {
+    if (this.knownForMs < REQUIRED_MS) return undefined;
+    const versions = this.#listVersions(serviceId);
+    const [only = ""] = versions;
+    return versions.size === 1 && only !== "" ? only : undefined;
+  }
+
+  /** True unless the service has had one version only. */
+  mayHaveSeveral(serviceId: string): boolean {
+    return this.findOnly(serviceId) === undefined;
+  }
+
+  #listVersions(serviceId: string): ReadonlySet<string> {
+    const versions = new Set<string>();
+    for (const runner of this.#listRunners()) {
+      if (runner.serviceId === serviceId) versions.add(runner.softwareVersion);
+    }
+    const sinceMs = monotonicMs() - RETENTION_MS;
+    for (const [version, atMs] of this.#departedAtMs.get(serviceId) ?? []) {
+      if (atMs >= sinceMs) versions.add(version);
+    }
+    return versions;
+  }
+
+  #depart({ serviceId, softwareVersion, ageMs }: DepartedSoftware): void {
+    const versions = this.#departedAtMs.get(serviceId) ?? new Map();
+    this.#departedAtMs.set(serviceId, versions);
+    const atMs = monotonicMs() - ageMs;
+    versions.set(
+      softwareVersion,
+      Math.max(atMs, versions.get(softwareVersion) ?? atMs),
+    );
+    this.#evictOld();
+  }
+
+  #evictOld(): void {
+    const sinceMs = monotonicMs() - RETENTION_MS;
+    for (const [serviceId, versions] of this.#departedAtMs) {
+      for (const [version, atMs] of versions) {
+        if (atMs < sinceMs || versions.size > MAX_DEPARTED)
+          versions.delete(version);
+      }
+      if (versions.size === 0 || this.#departedAtMs.size > MAX_DEPARTED)
+        this.#departedAtMs.delete(serviceId);
+    }
+  }
+
+  #extend(sinceMs: number): void {
+    this.#knownSinceMs = Math.min(this.#knownSinceMs, sinceMs);
+  }
+}
--- a/packages/metrics/src/counter_name.ts
+++ b/packages/metrics/src/counter_name.ts
@@ -6,7 +6,9 @@
  * the store was withdrawn, `runner_pauses` the pauses that runners asked for,
  * and `withheld_…` the requests that were about to be written to a runner when
  * data residency, an evacuation, the limit of a cold runner or the rate limit that
- * a runner states came to bar them.
+ * a runner states came to bar them. `streams_taken_up` counts the streams that
+ * callers took up again, `streams_not_taken_up` those of them that were refused as
+ * it is not known at which software version they began.
  */
 export type CounterName =
   | "tokens"
@@ -30,4 +32,6 @@
   | "callers_left"
   | "answers_cut"
   | "moves"
+  | "streams_taken_up"
+  | "streams_not_taken_up"
   | "log_lines_dropped";
