Take an answer with an undefined status for broken

Here 000, 099, 101, 199 and 2000 were refused, by the parser of the HTTP client or one of its assertions; 600, 700 and 999 reached the caller of a plain request and of a stream with the runner's signature, and what such a head said of its runner (that it leaves) was heeded.

Cause: any status from 200 on was taken for that of a final answer.

Change: one rule, isFinalStatus (200 to 599), asked before anything reads the head, in HttpConnection (answers of runners, control calls, the store, copies) and in SingleUseClient of the product.

--- a/packages/gateway/src/transport/http_connection.ts
+++ b/packages/gateway/src/transport/http_connection.ts
@@ -6,6 +6,7 @@
   describeError,
   hasLostPeer,
   HoldableSocket,
+  isFinalStatus,
   monotonicMs,
 } from "@jujubeladder/utils";
 import { CONNECT_TIMED_OUT } from "./connect_timed_out.js";
@@ -217,7 +218,9 @@
         },
         onResponseStart: (_controller, statusCode, headers) => {
           const isInformational = statusCode < STATUS_OK;
-          if (!isDone && !isInformational) sink.onHead(statusCode, headers);
+          if (isDone || isInformational) return;
+          if (isFinalStatus(statusCode)) sink.onHead(statusCode, headers);
+          else current.fail(`status ${statusCode} is not defined`);
         },
         onResponseData: (_controller, chunk) => {
           current.bodyBytes += chunk.length;
--- a/packages/upstream/src/single_use_client.ts
+++ b/packages/upstream/src/single_use_client.ts
@@ -1,6 +1,10 @@
 import type { Socket } from "node:net";
 import { Client, type Dispatcher, errors } from "undici";
-import { hasLostPeer, HoldableSocket } from "@jujubeladder/utils";
+import {
+  hasLostPeer,
+  HoldableSocket,
+  isFinalStatus,
+} from "@jujubeladder/utils";
 import { ResponseBody } from "./response_body.js";
 import type { SingleUseResponse } from "./single_use_response.js";
 
@@ -122,6 +126,11 @@
         onRequestStart: () => undefined,
         onResponseStart: (_controller, statusCode, headers) => {
           if (statusCode < STATUS_OK) return;
+          if (!isFinalStatus(statusCode)) {
+            fail(new Error(`status ${statusCode} is not defined`));
+            this.close();
+            return;
+          }
           const flow = {
             hold: () => this.#socket?.hold(),
             release: () => this.#socket?.release(),
--- a/packages/utils/src/mod.ts
+++ b/packages/utils/src/mod.ts
@@ -11,6 +11,7 @@
 export { HoldableSocket } from "./holdable_socket.js";
 export { maxElapsedMs } from "./max_elapsed_ms.js";
 export { hasLostPeer } from "./has_lost_peer.js";
+export { isFinalStatus } from "./is_final_status.js";
 export { hash32 } from "./hash32.js";
 export { sha256Hex } from "./sha256_hex.js";
 export { monotonicMs } from "./monotonic_ms.js";
