Record a new stream under its own id, and tell origins with long ids

A request that begins a new stream and names another in its head was recorded as that one, so that a caller could make a foreign stream go on at the wrong version; only a take-up is recorded under the id that it names. Origins with ids of up to 200 bytes did not fit into one datagram with 15 others, and were told to nobody.

--- a/packages/gateway/src/__tests__/stream_origins_fleet.test.ts
+++ b/packages/gateway/src/__tests__/stream_origins_fleet.test.ts
@@ -1,5 +1,8 @@
-import { create } from "@bufbuild/protobuf";
-import { StreamOriginSchema } from "@jujubeladder/protocol";
+import { create, toBinary } from "@bufbuild/protobuf";
+import {
+  StreamOriginSchema,
+  StreamOriginsSchema,
+} from "@jujubeladder/protocol";
 import { createSeededRandom } from "@jujubeladder/standins";
 import { sleep } from "@jujubeladder/utils";
 import { suite } from "uvu";
@@ -101,6 +104,36 @@
   return await promise;
 }
 
+test("origins with long ids are told in datagrams that are small enough", async () => {
+  const time = new VirtualTime();
+  time.install();
+  const lengths: number[] = [];
+  let toldCount = 0;
+  try {
+    const exchange = new StreamOriginExchange({
+      ownId: "10.0.0.1:1",
+      origins: new StreamOrigins(),
+      listPeerIds: () => ["10.0.0.2:1"],
+      datagrams: {
+        sendStreamOrigins: (_peer, told) => {
+          const message = create(StreamOriginsSchema, told);
+          toldCount += message.origins.length;
+          lengths.push(toBinary(StreamOriginsSchema, message).length);
+        },
+        askStreamOrigin: async () => Promise.resolve(undefined),
+      },
+    });
+    const origin = { serviceId: "s".repeat(60), softwareVersion: "v1" };
+    for (let n = 0; n < 40; n += 1)
+      exchange.tell(`${n}-${"x".repeat(190)}`, origin);
+    await time.runUntil(50);
+  } finally {
+    time.uninstall();
+  }
+  assert.is(toldCount, 40);
+  assert.ok(Math.max(...lengths) <= 1_300, `${Math.max(...lengths)}`);
+});
+
 test("an origin that nobody was told of is not known", async () => {
   const [first, second] = createFleet(2);
   first?.exchange.record([create(StreamOriginSchema, { requestId: "x" })]);
--- a/packages/gateway/src/mesh/stream_origin_exchange.ts
+++ b/packages/gateway/src/mesh/stream_origin_exchange.ts
@@ -9,8 +9,10 @@
 const COPIES = 3;
 /** Origins of this time are told together. */
 const TELL_DELAY_MS = 10;
-/** Fits into one datagram with ids and names of usual length. */
-const MAX_ORIGINS_TOLD = 16;
+/** Names and ids of one datagram, which has 1,400 bytes. */
+const MAX_TOLD_LENGTH = 1_000;
+/** Of one origin beside its names and its id. */
+const ORIGIN_FRAMING_LENGTH = 9;
 /** Two round trips between regions, and a busy peer. */
 const ANSWER_TIMEOUT_MS = 150;
 const MAX_NAME_LENGTH = 200;
@@ -100,13 +102,11 @@
   #flush(): void {
     for (const [peerId, origins] of this.#untold) {
       const address = parseAddress(peerId);
-      for (let first = 0; first < origins.length; first += MAX_ORIGINS_TOLD) {
-        const told = origins.slice(first, first + MAX_ORIGINS_TOLD);
-        if (address)
-          this.#dependencies.datagrams.sendStreamOrigins(address, {
-            origins: told,
-          });
-      }
+      if (!address) continue;
+      for (const told of splitByLength(origins))
+        this.#dependencies.datagrams.sendStreamOrigins(address, {
+          origins: told,
+        });
     }
     this.#untold.clear();
   }
@@ -114,6 +114,26 @@
 
 type StreamOriginMessageInit = StreamOrigin & { readonly requestId: string };
 
+function splitByLength(
+  origins: readonly StreamOriginMessageInit[],
+): readonly StreamOriginMessageInit[][] {
+  const parts: StreamOriginMessageInit[][] = [];
+  let leftLength = 0;
+  for (const origin of origins) {
+    const { requestId, serviceId, softwareVersion } = origin;
+    const length =
+      Buffer.byteLength(requestId + serviceId + softwareVersion) +
+      ORIGIN_FRAMING_LENGTH;
+    if (length > leftLength) {
+      parts.push([]);
+      leftLength = MAX_TOLD_LENGTH;
+    }
+    parts.at(-1)?.push(origin);
+    leftLength -= length;
+  }
+  return parts;
+}
+
 function decodeOrigin(
   message: StreamOriginMessage | undefined,
 ): StreamOrigin | undefined {
--- a/packages/gateway/src/relay/stream_take_ups.ts
+++ b/packages/gateway/src/relay/stream_take_ups.ts
@@ -81,19 +81,17 @@
   }
 
   /** Records the first event of a stream here. */
-  recordBegun(
-    { request, service: { serviceId } }: RequestContext,
-    softwareVersion: string,
-  ): void {
-    const id = request.resumedRequestId ?? request.requestId;
+  recordBegun(context: RequestContext, softwareVersion: string): void {
+    const { serviceId } = context.service;
+    const id = this.#findId(context);
     const origin = { serviceId, softwareVersion };
     this.#dependencies.origins.record(id, origin);
     this.#active.set(id, { ...origin, isTold: false });
     this.#tellIfNeeded(id);
   }
 
-  recordEnded({ request }: RequestContext): void {
-    this.#active.delete(request.resumedRequestId ?? request.requestId);
+  recordEnded(context: RequestContext): void {
+    this.#active.delete(this.#findId(context));
   }
 
   /** Tells of the streams that began before their service had several versions. */
@@ -101,6 +99,12 @@
     for (const id of this.#active.keys()) this.#tellIfNeeded(id);
   }
 
+  // A new stream is recorded under its own id, whatever else its head names.
+  #findId(context: RequestContext): string {
+    const { requestId, resumedRequestId } = context.request;
+    return this.isTakeUp(context) ? (resumedRequestId ?? requestId) : requestId;
+  }
+
   #tellIfNeeded(id: string): void {
     const { sightings, exchange } = this.#dependencies;
     const stream = this.#active.get(id);
