--- a/packages/gateway/src/decisions/estimate_retry_after_ms.ts
+++ b/packages/gateway/src/decisions/estimate_retry_after_ms.ts
@@ -14,16 +14,21 @@
 export function estimateRetryAfterMs(load: {
   readonly queuedCount: number;
   readonly freedSlotsPerSecond: number;
-  /** Time until a runner opens, if all runners pause or limit their rate. */
+  /** Time until a runner ends its pause, if all runners pause. */
   readonly pauseEndsInMs?: number | undefined;
+  /** Time until a permit can be asked for, if all runners limit their rate. */
+  readonly permitInMs?: number | undefined;
   /** Jitter, from 0 to 1. */
   readonly random: number;
 }): number {
-  const { pauseEndsInMs } = load;
-  if (pauseEndsInMs !== undefined) {
-    const jitterMs = Math.min(MAX_PAUSE_JITTER_MS, pauseEndsInMs / 2);
-    const endsInMs = Math.max(MIN_RETRY_AFTER_MS, pauseEndsInMs);
-    return endsInMs + load.random * Math.max(MIN_RETRY_AFTER_MS, jitterMs);
+  const { permitInMs } = load;
+  const opensInMs =
+    permitInMs === undefined
+      ? load.pauseEndsInMs
+      : Math.max(MIN_RETRY_AFTER_MS, permitInMs);
+  if (opensInMs !== undefined) {
+    const jitterMs = Math.min(MAX_PAUSE_JITTER_MS, opensInMs / 2);
+    return opensInMs + load.random * Math.max(MIN_RETRY_AFTER_MS, jitterMs);
   }
   const rate = Math.max(load.freedSlotsPerSecond, 1);
   const drainMs = ((load.queuedCount + 1) / rate) * 1_000;
--- a/packages/gateway/src/relay/request_relay.ts
+++ b/packages/gateway/src/relay/request_relay.ts
@@ -595,11 +595,10 @@
       const retryAfterMs = estimateRetryAfterMs({
         queuedCount: this.#dependencies.scheduler.queuedCount,
         freedSlotsPerSecond: this.#sendRate.perSecond,
-        pauseEndsInMs:
-          progress.permitInMs ??
-          this.#dependencies.scheduler.findPauseEndMs(
-            context.service.serviceId,
-          ),
+        permitInMs: progress.permitInMs,
+        pauseEndsInMs: this.#dependencies.scheduler.findPauseEndMs(
+          context.service.serviceId,
+        ),
         random: Math.random(),
       });
       return refuse({ type: "not_run", reason, retryAfterMs });
