Correct a comment on the rate limits in a digest

Found on reading the change again: peers that lack a limit do not ask for a permit, as they do not know that they need one; they hear of it in the first answer. No code changed.

--- a/packages/gateway/src/mesh/create_gossip_extension.ts
+++ b/packages/gateway/src/mesh/create_gossip_extension.ts
@@ -19,7 +19,7 @@
 /** An older confirmation is of no use to peers and is not sent. */
 const MAX_CONFIRMATION_AGE_MS = 10_000;
 
-/** Peers that lack others ask for a permit before they send there. */
+/** Peers hear of others in the answers that they get themselves. */
 const MAX_RUNNER_RATES = 8;
 
 /** No instance places more requests on one runner. */
