Do not tell an only software version from an old list of runners

Found on reading the change again: an instance that is cut off from the store goes on with its last list.

The only version is now told from a current list alone (MAX_VIEW_AGE_MS, as for other views). Else the instances that were told are asked, and what nobody knows is refused. Cost: while the store is away, streams whose origin nobody was told of can't be taken up at another instance.

Measured: the new case of software_sightings, 8 of 8; software_versions 9 of 9.

--- a/packages/gateway/src/__tests__/software_sightings.test.ts
+++ b/packages/gateway/src/__tests__/software_sightings.test.ts
@@ -9,8 +9,14 @@
 const NEW = createRunner("new", { softwareVersion: "v2" });
 const ALL = { knownForMs: Number.POSITIVE_INFINITY, departed: [] };
 
-function create(listed: readonly GatewayRunner[]): SoftwareSightings {
-  const sightings = new SoftwareSightings(() => listed);
+function create(
+  listed: readonly GatewayRunner[],
+  listAgeMs = 0,
+): SoftwareSightings {
+  const sightings = new SoftwareSightings(
+    () => listed,
+    () => listAgeMs,
+  );
   sightings.recordList();
   return sightings;
 }
@@ -24,6 +30,12 @@
   assert.is(sightings.findOnly("writer"), "v1");
 });
 
+test("an instance that is cut off does not take its version for the only one", () => {
+  const sightings = create([OLD], 10_000);
+  sightings.recordHistory(ALL);
+  assert.is(sightings.findOnly("writer"), undefined);
+});
+
 test("a version whose last runner has left still counts", () => {
   const sightings = create([NEW]);
   sightings.recordHistory(ALL);
--- a/packages/gateway/src/server/gateway_instance.ts
+++ b/packages/gateway/src/server/gateway_instance.ts
@@ -154,7 +154,10 @@
     this.#directory = new RunnerDirectory(logger);
     this.#evacuatedZones = new EvacuatedZones(logger);
     this.#rateLimits = new RunnerRateLimits(logger);
-    this.#sightings = new SoftwareSightings(() => this.#directory.listAll());
+    this.#sightings = new SoftwareSightings(
+      () => this.#directory.listAll(),
+      () => this.#watchCache.ageMs,
+    );
     this.#directory.events.on("dropped", (runner) => {
       this.#sightings.recordDeparture(runner);
     });
--- a/packages/gateway/src/views/software_sightings.ts
+++ b/packages/gateway/src/views/software_sightings.ts
@@ -1,6 +1,7 @@
 import { monotonicMs } from "@jujubeladder/utils";
 import type { DepartedSoftware } from "../model/departed_software.js";
 import type { GatewayRunner } from "../model/gateway_runner.js";
+import { MAX_VIEW_AGE_MS } from "../model/max_view_age_ms.js";
 
 /** Longer than from the last listing of a runner until its streams are taken up. */
 const RETENTION_MS = 40_000;
@@ -14,13 +15,21 @@
  */
 export class SoftwareSightings {
   readonly #listRunners: () => Iterable<GatewayRunner>;
+  readonly #listAgeMs: () => number;
   /** When each version that a runner had was last listed, by service. */
   readonly #departedAtMs = new Map<string, Map<string, number>>();
   #knownSinceMs = Number.POSITIVE_INFINITY;
 
-  /** `listRunners` lists all runners that are listed, also those that leave. */
-  constructor(listRunners: () => Iterable<GatewayRunner>) {
+  /**
+   * `listRunners` lists all runners that are listed, also those that leave, and
+   * `listAgeMs` tells how long ago the store was known to hold that list.
+   */
+  constructor(
+    listRunners: () => Iterable<GatewayRunner>,
+    listAgeMs: () => number,
+  ) {
     this.#listRunners = listRunners;
+    this.#listAgeMs = listAgeMs;
   }
 
   /** For how long all versions have been known. */
@@ -71,6 +80,8 @@
    */
   findOnly(serviceId: string): string | undefined {
     if (this.knownForMs < REQUIRED_MS) return undefined;
+    // Peers may have listed another version since.
+    if (this.#listAgeMs() > MAX_VIEW_AGE_MS) return undefined;
     const versions = this.#listVersions(serviceId);
     const [only = ""] = versions;
     return versions.size === 1 && only !== "" ? only : undefined;
