Ask for an API key wherever the configuration lists its teams

Cause: decodeConfig made an empty list of teams of an absent one, and admission took a configuration without teams for one that asks for no keys.

Ruled out: the document with the empty list is refused (the log has it in force, and no configuration_refused); the key stays with its connection (the test opens one a request, and failed all the same).

Change: CallerAuthentication, a union that tells a document without a list from one with an empty list; authenticateCaller decides, and refuses a presented key that no team has also where none is needed, since a later version without any list must not accept a withdrawn key either. configuration_in_force names the authentication, and the command where says if callers need a key.

--- a/packages/gateway/src/__tests__/admit_request.test.ts
+++ b/packages/gateway/src/__tests__/admit_request.test.ts
@@ -36,7 +36,7 @@
     { response: {} as never, body, receivedAtMs: 0 },
     {
       activeConfig: {
-        config: { teams: [] },
+        config: { authentication: { type: "none" } },
         routes: indexRoutes([ROUTE]),
         findService: () => ({ serviceId: "app" }),
         version: 1,
--- a/packages/gateway/src/__tests__/restore_model/model_instance.ts
+++ b/packages/gateway/src/__tests__/restore_model/model_instance.ts
@@ -38,7 +38,12 @@
 const CODEC = {
   decodeConfig: (text: string) => {
     const { version } = JSON.parse(text) as { readonly version: number };
-    const value = { version, routes: [], services: [], teams: [] };
+    const value = {
+      version,
+      routes: [],
+      services: [],
+      authentication: { type: "none" },
+    };
     return { ok: true, value };
   },
 } as unknown as GatewayCodec;
--- a/packages/gateway/src/__tests__/restored_config.test.ts
+++ b/packages/gateway/src/__tests__/restored_config.test.ts
@@ -24,7 +24,12 @@
 const CODEC = {
   decodeConfig: (text: string) => {
     const { version } = JSON.parse(text) as { readonly version: number };
-    const value = { version, routes: [], services: [], teams: [] };
+    const value = {
+      version,
+      routes: [],
+      services: [],
+      authentication: { type: "none" },
+    };
     return { ok: true, value };
   },
 } as unknown as GatewayCodec;
--- a/packages/gateway/src/__tests__/restored_config_age.test.ts
+++ b/packages/gateway/src/__tests__/restored_config_age.test.ts
@@ -17,7 +17,13 @@
 
 const CODEC = {
   decodeConfig: (text: string) => {
-    const value = { version: 1, routes: [], services: [], teams: [], text };
+    const value = {
+      version: 1,
+      routes: [],
+      services: [],
+      authentication: { type: "none" },
+      text,
+    };
     return { ok: true, value };
   },
 } as unknown as GatewayCodec;
--- a/packages/gateway/src/model/gateway_config.ts
+++ b/packages/gateway/src/model/gateway_config.ts
@@ -1,5 +1,5 @@
+import type { CallerAuthentication } from "./caller_authentication.js";
 import type { CallerLimits } from "./caller_limits.js";
-import type { GatewayTeam } from "./gateway_team.js";
 import type { Route } from "./route.js";
 import type { RoutedService } from "./routed_service.js";
 
@@ -8,6 +8,6 @@
   readonly version: number;
   readonly routes: readonly Route[];
   readonly services: readonly RoutedService[];
-  readonly teams: readonly GatewayTeam[];
+  readonly authentication: CallerAuthentication;
   readonly limits: CallerLimits;
 }
--- a/packages/gateway/src/server/admit_request.ts
+++ b/packages/gateway/src/server/admit_request.ts
@@ -1,6 +1,7 @@
 import type { PartQuarantine, Quarantine } from "@jujubeladder/coordination";
 import type { Result } from "@jujubeladder/types";
 import { computeFingerprint } from "@jujubeladder/utils";
+import { authenticateCaller } from "../decisions/authenticate_caller.js";
 import { combineAllowedRegions } from "../decisions/combine_allowed_regions.js";
 import { findQuarantineRefusal } from "../decisions/find_quarantine_refusal.js";
 import { findRoute } from "../decisions/find_route.js";
@@ -55,17 +56,21 @@
   }
   const route = findRoute(activeConfig.routes, request);
   if (!route) return { ok: false, error: { type: "no_route" } };
-  const isKeyed = activeConfig.config.teams.length > 0 && !route.isPublic;
-  const team = isKeyed
-    ? activeConfig.findTeam(request.apiKey ?? "")
-    : undefined;
-  if (isKeyed) {
+  const identity = authenticateCaller(
+    { route, apiKey: request.apiKey },
+    {
+      authentication: activeConfig.config.authentication,
+      findTeam: (apiKey) => activeConfig.findTeam(apiKey),
+    },
+  );
+  if (identity.type !== "anonymous") {
     const maxAgeMs = maxKeyConfigAgeMs ?? Number.POSITIVE_INFINITY;
     if (activeConfig.confirmedAgeMs > maxAgeMs) {
       return notRun("keys cannot be checked", OTHER_INSTANCE_RETRY_MS);
     }
-    if (!team) return { ok: false, error: { type: "unknown_key" } };
   }
+  if (identity.type === "unknown_key") return { ok: false, error: identity };
+  const team = identity.type === "team" ? identity.team : undefined;
   const service = activeConfig.findService(
     pickService(route, request.requestId),
   );
--- a/packages/gateway/src/server/explain_request.ts
+++ b/packages/gateway/src/server/explain_request.ts
@@ -83,6 +83,8 @@
   const body = {
     route: route.routeId,
     team: teamId ?? undefined,
+    needsApiKey:
+      !route.isPublic && activeConfig.config?.authentication.type === "api_key",
     priority,
     configVersion: activeConfig.version,
     services,
--- a/packages/gateway/src/views/active_config.ts
+++ b/packages/gateway/src/views/active_config.ts
@@ -8,6 +8,7 @@
 } from "@jujubeladder/utils";
 import { indexRoutes } from "../decisions/index_routes.js";
 import type { RouteIndex } from "../decisions/route_index.js";
+import type { CallerAuthentication } from "../model/caller_authentication.js";
 import type { GatewayCodec } from "../model/gateway_codec.js";
 import type { GatewayConfig } from "../model/gateway_config.js";
 import type { GatewayTeam } from "../model/gateway_team.js";
@@ -25,6 +26,7 @@
   readonly hash: string;
   readonly routes: RouteIndex;
   readonly teamsByKey: ReadonlyMap<string, GatewayTeam>;
+  readonly teamsById: ReadonlyMap<string, GatewayTeam>;
   readonly servicesById: ReadonlyMap<string, RoutedService>;
   readonly shortestTargetsMs: ReadonlyMap<string, number>;
 }
@@ -111,7 +113,7 @@
   }
 
   findTeamById(teamId: string): GatewayTeam | undefined {
-    return this.#active?.config.teams.find((team) => team.teamId === teamId);
+    return this.#active?.teamsById.get(teamId);
   }
 
   /** The shortest latency target of the streams that go to a service. */
@@ -179,14 +181,16 @@
 
   #activate(config: GatewayConfig, text: string, source: ConfigSource): void {
     this.#activeSinceMs ??= monotonicMs();
+    const teams = listTeams(config.authentication);
     this.#active = {
       config,
       text,
       hash: sha256Hex(text),
       routes: indexRoutes(config.routes),
       teamsByKey: new Map(
-        config.teams.flatMap((team) => team.apiKeys.map((key) => [key, team])),
+        teams.flatMap((team) => team.apiKeys.map((key) => [key, team])),
       ),
+      teamsById: new Map(teams.map((team) => [team.teamId, team])),
       servicesById: new Map(config.services.map((s) => [s.serviceId, s])),
       shortestTargetsMs: findShortestTargets(config.routes),
     };
@@ -197,7 +201,8 @@
       version: config.version,
       hash: this.#active.hash,
       routes: config.routes.length,
-      teams: config.teams.length,
+      authentication: config.authentication.type,
+      teams: teams.length,
     });
     this.#changed.notify();
     void this.events.emit("changed", config);
@@ -226,6 +231,17 @@
   }
 }
 
+function listTeams(
+  authentication: CallerAuthentication,
+): readonly GatewayTeam[] {
+  switch (authentication.type) {
+    case "none":
+      return [];
+    case "api_key":
+      return authentication.teams;
+  }
+}
+
 function findShortestTargets(
   routes: readonly Route[],
 ): ReadonlyMap<string, number> {
