Take a version for the only one by a read sent after the take-up only

What callers saw: nothing in the answer.

Cause: SoftwareSightings took the only version of a list for the only one up to now if the list was up to 1.8 s old, and then asked nobody. A runner joins, begins a stream and breaks it off in less, and a frozen process handles the request before the list.

Ruled out: a smaller bound (wrong within it); telling three instances of every stream (they would be told in calm too, and one that is cut off still is not).

Change: OnlyVersions reads the changes since the known list, by a read that is sent after the question and shared by all that wait for it, within a quarter of the store's reads a second; the instances that may have been told are asked at the same time, and the first that knows decides.

--- a/packages/gateway/src/__tests__/software_sightings.test.ts
+++ b/packages/gateway/src/__tests__/software_sightings.test.ts
@@ -23,41 +23,44 @@
 
 test("one listed version is not taken for the only one without its history", () => {
   const sightings = create([OLD]);
-  assert.is(sightings.findOnly("writer"), undefined);
+  assert.is(sightings.findOnlyListed("writer"), undefined);
   sightings.recordHistory({ knownForMs: 5_000, departed: [] });
-  assert.is(sightings.findOnly("writer"), undefined);
+  assert.is(sightings.findOnlyListed("writer"), undefined);
   sightings.recordHistory(ALL);
-  assert.is(sightings.findOnly("writer"), "v1");
+  assert.is(sightings.findOnlyListed("writer"), "v1");
 });
 
-test("an instance that is cut off does not take its version for the only one", () => {
+test("an instance that is cut off tells where its streams begin", () => {
   const sightings = create([OLD], 10_000);
   sightings.recordHistory(ALL);
-  assert.is(sightings.findOnly("writer"), undefined);
+  assert.ok(sightings.mayHaveSeveral("writer"));
+  const current = create([OLD]);
+  current.recordHistory(ALL);
+  assert.not(current.mayHaveSeveral("writer"));
 });
 
 test("a version whose last runner has left still counts", () => {
   const sightings = create([NEW]);
   sightings.recordHistory(ALL);
-  sightings.recordDeparture(OLD);
-  assert.is(sightings.findOnly("writer"), undefined);
-  assert.is(sightings.findOnly("other"), undefined);
+  sightings.recordSighting(OLD);
+  assert.is(sightings.findOnlyListed("writer"), undefined);
+  assert.is(sightings.findOnlyListed("other"), undefined);
 });
 
 test("a version that a peer has seen leave counts", () => {
   const teller = create([NEW]);
   teller.recordHistory(ALL);
-  teller.recordDeparture(OLD);
+  teller.recordSighting(OLD);
   const told = create([NEW]);
   const departed = teller.listDeparted();
   told.recordHistory({ knownForMs: teller.knownForMs, departed });
-  assert.is(told.findOnly("writer"), undefined);
+  assert.is(told.findOnlyListed("writer"), undefined);
 });
 
 test("a runner without a version is not taken for the only version", () => {
   const sightings = create([createRunner("odd", { softwareVersion: "" })]);
   sightings.recordHistory(ALL);
-  assert.is(sightings.findOnly("writer"), undefined);
+  assert.is(sightings.findOnlyListed("writer"), undefined);
 });
 
 test("a history tells of the versions that were listed and are not", () => {
--- a/packages/gateway/src/mesh/stream_origin_exchange.ts
+++ b/packages/gateway/src/mesh/stream_origin_exchange.ts
@@ -1,6 +1,10 @@
 import type { PeerDatagrams } from "@jujubeladder/coordination";
 import type { StreamOrigin as StreamOriginMessage } from "@jujubeladder/protocol";
-import { rankByRendezvous, settleWithin } from "@jujubeladder/utils";
+import {
+  firstDefined,
+  rankByRendezvous,
+  settleWithin,
+} from "@jujubeladder/utils";
 import type { StreamOrigin } from "../model/stream_origin.js";
 import type { StreamOrigins } from "../views/stream_origins.js";
 import { parseAddress } from "./parse_address.js";
@@ -62,13 +66,9 @@
       return address ? [datagrams.askStreamOrigin(address, { requestId })] : [];
     });
     if (asked.length === 0) return undefined;
-    const first = Promise.any(
-      asked.map(async (answer) => {
-        const origin = decodeOrigin(await answer);
-        if (!origin) throw new Error("the peer does not know");
-        return origin;
-      }),
-    ).catch(() => undefined);
+    const first = firstDefined(
+      asked.map(async (answer) => decodeOrigin(await answer)),
+    );
     return await settleWithin(first, ANSWER_TIMEOUT_MS);
   }
 
--- a/packages/gateway/src/model/metadata_store.ts
+++ b/packages/gateway/src/model/metadata_store.ts
@@ -52,6 +52,14 @@
       string
     >
   >;
+  /**
+   * Reads the changes to the list of runners since `asOf` without waiting for any,
+   * also while a long poll is under way; absent if the store tells none.
+   */
+  readRunnerChanges?(options: {
+    readonly asOf: StorePosition;
+    readonly timeoutMs: number;
+  }): Promise<Result<WatchOutcome<readonly RunnerChange[]>, string>>;
   /**
    * Reads the changes to the list of runners up to `asOf`, as far back as the
    * store keeps them; absent if it keeps none.
--- a/packages/gateway/src/relay/stream_take_ups.ts
+++ b/packages/gateway/src/relay/stream_take_ups.ts
@@ -1,8 +1,10 @@
 import type { Logger } from "@jujubeladder/logger";
 import type { Metrics } from "@jujubeladder/metrics";
+import { firstDefined } from "@jujubeladder/utils";
 import { isSameSoftware } from "../decisions/is_same_software.js";
 import type { StreamOriginExchange } from "../mesh/stream_origin_exchange.js";
 import type { StreamOrigin } from "../model/stream_origin.js";
+import type { OnlyVersions } from "../views/only_versions.js";
 import type { SoftwareSightings } from "../views/software_sightings.js";
 import type { StreamOrigins } from "../views/stream_origins.js";
 import type { RequestContext } from "./request_context.js";
@@ -11,11 +13,18 @@
 interface TakeUpDependencies {
   readonly origins: StreamOrigins;
   readonly exchange: Pick<StreamOriginExchange, "tell" | "find">;
-  readonly sightings: SoftwareSightings;
+  readonly sightings: Pick<SoftwareSightings, "mayHaveSeveral">;
+  readonly onlyVersions: Pick<OnlyVersions, "find">;
   readonly metrics: Metrics;
   readonly logger: Logger;
 }
 
+/** Where a stream began, and who said so. */
+interface FoundOrigin {
+  readonly source: "own" | "peer" | "only_version" | "unknown";
+  readonly origin?: StreamOrigin;
+}
+
 interface ActiveStream extends StreamOrigin {
   isTold: boolean;
 }
@@ -44,22 +53,21 @@
 
   /** Returns the version that began the stream; undefined if it is not known. */
   async findVersion(context: RequestContext): Promise<string | undefined> {
-    const { origins, exchange, sightings, metrics, logger } =
-      this.#dependencies;
+    const { origins, metrics, logger } = this.#dependencies;
     const { request, service } = context;
     const { serviceId } = service;
     const id = request.resumedRequestId;
     const own = id === undefined ? undefined : origins.find(id);
-    const only = own ? undefined : sightings.findOnly(serviceId);
-    const told =
-      own || only !== undefined || id === undefined
-        ? undefined
-        : await exchange.find(id);
-    const known = own ?? told;
+    const found: FoundOrigin = own
+      ? { source: "own", origin: own }
+      : ((await firstDefined([
+          this.#askPeers(id),
+          this.#askOnlyVersion(serviceId),
+        ])) ?? { source: "unknown" });
+    const { source, origin } = found;
     // The route may have moved to another service since.
     const version =
-      only ??
-      (known?.serviceId === serviceId ? known.softwareVersion : undefined);
+      origin?.serviceId === serviceId ? origin.softwareVersion : undefined;
     const isKnown = version !== undefined && isSameSoftware(version, version);
     metrics.count(isKnown ? "streams_taken_up" : "streams_not_taken_up");
     logger.info("stream_taken_up", {
@@ -68,18 +76,29 @@
       last_event_id: request.lastEventId,
       service: serviceId,
       software_version: version,
-      source: own
-        ? "own"
-        : only !== undefined
-          ? "only_version"
-          : told
-            ? "peer"
-            : "unknown",
-      began_at_service: known?.serviceId,
+      source,
+      began_at_service: origin?.serviceId,
     });
     return isKnown ? version : undefined;
   }
 
+  async #askPeers(id: string | undefined): Promise<FoundOrigin | undefined> {
+    if (id === undefined) return undefined;
+    const origin = await this.#dependencies.exchange.find(id);
+    return origin && { source: "peer", origin };
+  }
+
+  async #askOnlyVersion(serviceId: string): Promise<FoundOrigin | undefined> {
+    const only = await this.#dependencies.onlyVersions.find(serviceId);
+    this.#dependencies.metrics.count(`version_checks_${only.type}`);
+    if (only.type !== "one") return undefined;
+    const { softwareVersion } = only;
+    return {
+      source: "only_version",
+      origin: { serviceId, softwareVersion },
+    };
+  }
+
   /** Records the first event of a stream here. */
   recordBegun(context: RequestContext, softwareVersion: string): void {
     const { serviceId } = context.service;
--- a/packages/gateway/src/server/gateway_instance.ts
+++ b/packages/gateway/src/server/gateway_instance.ts
@@ -19,6 +19,7 @@
 import { create } from "@bufbuild/protobuf";
 import { sleep } from "@jujubeladder/utils";
 import { ColdRunnerLimiter } from "../decisions/cold_runner_limiter.js";
+import { computeCheckIntervalMs } from "../decisions/compute_check_interval_ms.js";
 import { FleetLoads } from "../decisions/fleet_loads.js";
 import { LoadTracker } from "../decisions/load_tracker.js";
 import { OutlierScores } from "../decisions/outlier_scores.js";
@@ -64,7 +65,9 @@
 import { syncRunners } from "../views/sync_runners.js";
 import { RunnerDirectory } from "../views/runner_directory.js";
 import { RunnerPauses } from "../views/runner_pauses.js";
+import { OnlyVersions } from "../views/only_versions.js";
 import { SoftwareSightings } from "../views/software_sightings.js";
+import { UnseenRunnerChanges } from "../views/unseen_runner_changes.js";
 import { StreamOrigins } from "../views/stream_origins.js";
 import { readSoftwareHistory } from "../views/read_software_history.js";
 import { RunnerRateLimits } from "../views/runner_rate_limits.js";
@@ -159,7 +162,7 @@
       () => this.#watchCache.ageMs,
     );
     this.#directory.events.on("dropped", (runner) => {
-      this.#sightings.recordDeparture(runner);
+      this.#sightings.recordSighting(runner);
     });
     this.#directory.events.on("listRead", () => {
       this.#sightings.recordList();
@@ -264,10 +267,16 @@
         this.#roster.listInstances().map(({ instanceId }) => instanceId),
       datagrams: this.#peerDatagrams,
     });
+    const unseenChanges = new UnseenRunnerChanges(
+      this.#store,
+      this.#watchCache,
+      () => this.#computeCheckIntervalMs(),
+    );
     const takeUps = new StreamTakeUps({
       origins,
       exchange: this.#originExchange,
       sightings: this.#sightings,
+      onlyVersions: new OnlyVersions(this.#sightings, unseenChanges),
       metrics: this.#metrics,
       logger,
     });
@@ -553,6 +562,13 @@
       : undefined;
   }
 
+  #computeCheckIntervalMs(): number {
+    return computeCheckIntervalMs({
+      instanceCount: Math.max(MIN_FLEET_SIZE, this.#roster.peakInstanceCount),
+      readsPerSecond: this.#settings.storeReadsPerSecond,
+    });
+  }
+
   #readView(): ViewState {
     return readViewState({
       evacuatedZones: this.#evacuatedZones,
--- a/packages/gateway/src/server/gateway_settings.ts
+++ b/packages/gateway/src/server/gateway_settings.ts
@@ -40,6 +40,8 @@
   readonly coldLimit?: ColdLimit | undefined;
   /** For how long the store keeps its history. */
   readonly storeHistoryMs?: number | undefined;
+  /** Reads that the store takes a second from the whole fleet. */
+  readonly storeReadsPerSecond?: number | undefined;
   /** Time between the stop signal and the forced kill of the process. */
   readonly stopGraceMs: number;
 }
--- a/packages/gateway/src/views/software_sightings.ts
+++ b/packages/gateway/src/views/software_sightings.ts
@@ -16,7 +16,7 @@
 export class SoftwareSightings {
   readonly #listRunners: () => Iterable<GatewayRunner>;
   readonly #listAgeMs: () => number;
-  /** When each version that a runner had was last listed, by service. */
+  /** When each version that is not listed now was last sighted, by service. */
   readonly #departedAtMs = new Map<string, Map<string, number>>();
   #knownSinceMs = Number.POSITIVE_INFINITY;
 
@@ -47,8 +47,8 @@
     this.#extend(monotonicMs());
   }
 
-  /** Records a runner that is not listed any more, or under another version. */
-  recordDeparture({ serviceId, softwareVersion }: GatewayRunner): void {
+  /** Records a runner that may not be listed here any more, or not yet. */
+  recordSighting({ serviceId, softwareVersion }: GatewayRunner): void {
     this.#depart({ serviceId, softwareVersion, ageMs: 0 });
   }
 
@@ -75,21 +75,23 @@
   }
 
   /**
-   * The only version that the service has had lately; undefined if there were
-   * several, or may have been.
+   * The only version that the service has had up to the last read of the list;
+   * undefined if there were several, or may have been. Other instances may have
+   * listed another one since, see `OnlyVersions`.
    */
-  findOnly(serviceId: string): string | undefined {
+  findOnlyListed(serviceId: string): string | undefined {
     if (this.knownForMs < REQUIRED_MS) return undefined;
-    // Peers may have listed another version since.
-    if (this.#listAgeMs() > MAX_VIEW_AGE_MS) return undefined;
     const versions = this.#listVersions(serviceId);
     const [only = ""] = versions;
     return versions.size === 1 && only !== "" ? only : undefined;
   }
 
-  /** True unless the service has had one version only. */
+  /** True unless a current list shows that the service has had one version. */
   mayHaveSeveral(serviceId: string): boolean {
-    return this.findOnly(serviceId) === undefined;
+    return (
+      this.#listAgeMs() > MAX_VIEW_AGE_MS ||
+      this.findOnlyListed(serviceId) === undefined
+    );
   }
 
   #listVersions(serviceId: string): ReadonlySet<string> {
--- a/packages/metrics/src/counter_name.ts
+++ b/packages/metrics/src/counter_name.ts
@@ -8,7 +8,8 @@
  * data residency, an evacuation, the limit of a cold runner or the rate limit that
  * a runner states came to bar them. `streams_taken_up` counts the streams that
  * callers took up again, `streams_not_taken_up` those of them that were refused as
- * it is not known at which software version they began.
+ * it is not known at which software version they began. `version_checks_…` counts
+ * the questions whether a service has had one version only, by their answer.
  */
 export type CounterName =
   | "tokens"
@@ -34,4 +35,7 @@
   | "moves"
   | "streams_taken_up"
   | "streams_not_taken_up"
+  | "version_checks_one"
+  | "version_checks_several"
+  | "version_checks_not_confirmed"
   | "log_lines_dropped";
--- a/packages/utils/src/mod.ts
+++ b/packages/utils/src/mod.ts
@@ -23,5 +23,6 @@
 export { readClocks } from "./read_clocks.js";
 export { SealBox } from "./seal_box.js";
 export { setPatientTimeout } from "./set_patient_timeout.js";
+export { firstDefined } from "./first_defined.js";
 export { settleWithin } from "./settle_within.js";
 export { sleep } from "./sleep.js";
