Begin anew what is known of versions when changes of the list were missed

What callers saw: nothing in the answer.

Cause: SoftwareSightings kept the time since when all versions are known across a list that was read again as a whole, and took over the past of any peer, also of one that was itself behind, so that a gap could stay between the two. A first start counted as complete however late the first list came.

Ruled out: comparing times with those of peers, as a digest may be long on its way; waiting for the gap to be out of reach, as 20 s of refusals would follow each outage of the store.

Change: a whole list after longer than an entry is listed (three heartbeat intervals) begins anew. The past then comes from the store's history, which is read again after each gap, or from peers whose position in the store is at least that of the list (digest fields software_era, software_as_of). Departures are recorded at once and no longer by an event that is delivered later.

--- a/packages/coordination/src/fit_digest.ts
+++ b/packages/coordination/src/fit_digest.ts
@@ -79,6 +79,8 @@
   );
   digest.departedSoftware = [];
   delete digest.softwareKnownMs;
+  delete digest.softwareEra;
+  delete digest.softwareAsOf;
   return bytes;
 }
 
--- a/packages/coordination/src/gossip_extension.ts
+++ b/packages/coordination/src/gossip_extension.ts
@@ -19,6 +19,8 @@
     readonly members: MessageInitShape<typeof MemberSchema>[];
     readonly runnerShares: MessageInitShape<typeof RunnerShareSchema>[];
     readonly softwareKnownMs?: number;
+    readonly softwareEra?: bigint;
+    readonly softwareAsOf?: bigint;
     readonly departedSoftware?: MessageInitShape<
       typeof DepartedSoftwareSchema
     >[];
--- a/packages/gateway/src/__tests__/only_versions.test.ts
+++ b/packages/gateway/src/__tests__/only_versions.test.ts
@@ -1,4 +1,4 @@
-import { sleep } from "@jujubeladder/utils";
+import { readClocks, sleep } from "@jujubeladder/utils";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import type { MetadataStore } from "../model/metadata_store.js";
@@ -40,13 +40,16 @@
 }
 
 function create(store: MetadataStore, intervalMs = 0) {
-  const sightings = new SoftwareSightings(
-    () => [OLD, OTHER],
-    () => 0,
-  );
-  sightings.recordList();
-  sightings.recordHistory({ knownForMs: 60_000, departed: [] });
+  const sightings = new SoftwareSightings(() => [OLD, OTHER], {
+    entryLifetimeMs: 0,
+  });
   const asOf = { era: 1, revision: 7 };
+  sightings.recordRead({ asOf, readAt: readClocks(), isWholeList: true });
+  sightings.recordHistory({
+    knownForMs: 60_000,
+    knownUpTo: asOf,
+    departed: [],
+  });
   const unseen = new UnseenRunnerChanges(store, { asOf }, () => intervalMs);
   return new OnlyVersions(sightings, unseen);
 }
--- a/packages/gateway/src/__tests__/software_sightings.test.ts
+++ b/packages/gateway/src/__tests__/software_sightings.test.ts
@@ -1,30 +1,46 @@
+import { readClocks } from "@jujubeladder/utils";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import { findDepartedSoftware } from "../decisions/find_departed_software.js";
 import type { GatewayRunner } from "../model/gateway_runner.js";
+import type { RunnerListRead } from "../model/runner_list_read.js";
 import { SoftwareSightings } from "../views/software_sightings.js";
 import { createRunner } from "./create_runner.js";
 
 const OLD = createRunner("old", { softwareVersion: "v1" });
 const NEW = createRunner("new", { softwareVersion: "v2" });
-const ALL = { knownForMs: Number.POSITIVE_INFINITY, departed: [] };
+const ENTRY_LIFETIME_MS = 3_000;
+const FIRST = { era: 1, revision: 10 };
+const ALL = {
+  knownForMs: Number.POSITIVE_INFINITY,
+  knownUpTo: FIRST,
+  departed: [],
+};
+
+function readList(listAgeMs: number, asOf = FIRST): RunnerListRead {
+  const { monotonicMs, wallMs } = readClocks();
+  const readAt = {
+    monotonicMs: monotonicMs - listAgeMs,
+    wallMs: wallMs - listAgeMs,
+  };
+  return { asOf, readAt, isWholeList: true };
+}
 
 function create(
   listed: readonly GatewayRunner[],
   listAgeMs = 0,
 ): SoftwareSightings {
-  const sightings = new SoftwareSightings(
-    () => listed,
-    () => listAgeMs,
-  );
-  sightings.recordList();
+  const sightings = new SoftwareSightings(() => listed, {
+    entryLifetimeMs: ENTRY_LIFETIME_MS,
+  });
+  sightings.recordRead(readList(listAgeMs));
   return sightings;
 }
 
 test("one listed version is not taken for the only one without its history", () => {
   const sightings = create([OLD]);
   assert.is(sightings.findOnlyListed("writer"), undefined);
-  sightings.recordHistory({ knownForMs: 5_000, departed: [] });
+  sightings.recordHistory({ ...ALL, knownForMs: 5_000 });
   assert.is(sightings.findOnlyListed("writer"), undefined);
   sightings.recordHistory(ALL);
   assert.is(sightings.findOnlyListed("writer"), "v1");
@@ -53,7 +69,7 @@
   teller.recordSighting(OLD);
   const told = create([NEW]);
   const departed = teller.listDeparted();
-  told.recordHistory({ knownForMs: teller.knownForMs, departed });
+  told.recordHistory({ ...ALL, knownForMs: teller.knownForMs, departed });
   assert.is(told.findOnlyListed("writer"), undefined);
 });
 
@@ -92,4 +108,50 @@
   assert.is(departed?.[0]?.softwareVersion, "v1");
 });
 
+// Guards against a list that was read again and taken to continue the last one.
+test("a list that was read again after a gap begins anew", () => {
+  let gapCount = 0;
+  const sightings = new SoftwareSightings(() => [OLD], {
+    entryLifetimeMs: ENTRY_LIFETIME_MS,
+    onGap: () => {
+      gapCount += 1;
+    },
+  });
+  sightings.recordRead(readList(9_000));
+  sightings.recordHistory(ALL);
+  assert.is(sightings.findOnlyListed("writer"), "v1");
+  const later = { era: 1, revision: 20 };
+  sightings.recordRead(readList(0, later));
+  assert.is(gapCount, 2);
+  assert.is(sightings.findOnlyListed("writer"), undefined);
+  sightings.recordHistory(ALL);
+  assert.is(sightings.findOnlyListed("writer"), undefined);
+  sightings.recordHistory({ ...ALL, knownUpTo: { era: 2, revision: 30 } });
+  assert.is(sightings.findOnlyListed("writer"), undefined);
+  sightings.recordHistory({ ...ALL, knownUpTo: later });
+  assert.is(sightings.findOnlyListed("writer"), "v1");
+});
+
+test("a list that was read again at once, or is followed, goes on", () => {
+  const sightings = create([OLD], 9_000);
+  sightings.recordHistory(ALL);
+  sightings.recordRead({
+    ...readList(4_000, { era: 1, revision: 11 }),
+    isWholeList: false,
+  });
+  assert.is(sightings.findOnlyListed("writer"), "v1");
+  sightings.recordRead(readList(1_500, { era: 2, revision: 5 }));
+  assert.is(sightings.findOnlyListed("writer"), "v1");
+});
+
+// Guards against a peer that has not heard of what came before the first list.
+test("a peer that is behind the first list here tells nothing of the time before", () => {
+  const sightings = create([OLD]);
+  const behind = { era: 1, revision: 9 };
+  sightings.recordHistory({ ...ALL, knownUpTo: behind });
+  assert.is(sightings.findOnlyListed("writer"), undefined);
+  sightings.recordHistory({ ...ALL, knownUpTo: undefined });
+  assert.is(sightings.findOnlyListed("writer"), undefined);
+});
+
 test.run();
--- a/packages/gateway/src/mesh/decode_software.ts
+++ b/packages/gateway/src/mesh/decode_software.ts
@@ -1,5 +1,5 @@
 import type { Digest } from "@jujubeladder/protocol";
-import type { DepartedSoftware } from "../model/departed_software.js";
+import type { SoftwareHistory } from "../model/software_history.js";
 
 const MAX_NAME_LENGTH = 200;
 /** More than a service has versions at a time. */
@@ -10,14 +10,13 @@
  * or what is out of range.
  */
 export function decodeSoftware(
-  digest: Pick<Digest, "softwareKnownMs" | "departedSoftware">,
-):
-  | {
-      readonly knownForMs: number;
-      readonly departed: readonly DepartedSoftware[];
-    }
-  | undefined {
+  digest: Pick<
+    Digest,
+    "softwareKnownMs" | "softwareEra" | "softwareAsOf" | "departedSoftware"
+  >,
+): SoftwareHistory | undefined {
   const { softwareKnownMs, departedSoftware } = digest;
+  const { softwareEra: era, softwareAsOf: revision } = digest;
   const isValid =
     departedSoftware.length <= MAX_DEPARTED &&
     departedSoftware.every(
@@ -33,5 +32,9 @@
       ageMs,
     }),
   );
-  return { knownForMs: softwareKnownMs ?? 0, departed };
+  const knownUpTo =
+    era === undefined || revision === undefined
+      ? undefined
+      : { era: Number(era), revision: Number(revision) };
+  return { knownForMs: softwareKnownMs ?? 0, knownUpTo, departed };
 }
--- a/packages/gateway/src/mesh/encode_software.ts
+++ b/packages/gateway/src/mesh/encode_software.ts
@@ -8,9 +8,12 @@
 /** Encodes which software versions the services have had, for a peer. */
 export function encodeSoftware(sightings: SoftwareSightings | undefined): {
   readonly softwareKnownMs?: number;
+  readonly softwareEra?: bigint;
+  readonly softwareAsOf?: bigint;
   readonly departedSoftware?: MessageInitShape<typeof DepartedSoftwareSchema>[];
 } {
-  if (!sightings || sightings.knownForMs === 0) return {};
+  const knownUpTo = sightings?.knownUpTo;
+  if (!sightings || !knownUpTo || sightings.knownForMs === 0) return {};
   const departed = sightings.listDeparted();
   const departedSoftware = departed.slice(0, MAX_DEPARTED).map((software) => ({
     ...software,
@@ -24,6 +27,8 @@
           Math.floor(sightings.knownForMs),
           MAX_KNOWN_MS,
         ),
+        softwareEra: BigInt(knownUpTo.era),
+        softwareAsOf: BigInt(knownUpTo.revision),
       };
 }
 
--- a/packages/gateway/src/server/gateway_instance.ts
+++ b/packages/gateway/src/server/gateway_instance.ts
@@ -104,6 +104,7 @@
   readonly #permits: RatePermits;
   readonly #sightings: SoftwareSightings;
   readonly #originExchange: StreamOriginExchange;
+  #isReadingHistory = false;
   readonly #pool = new ConnectionPool();
   readonly #roster: PeerRoster;
   readonly #membership: Membership;
@@ -123,6 +124,9 @@
     onChanged: () => {
       this.#announceView();
     },
+    onRead: (read) => {
+      this.#sightings.recordRead(read);
+    },
   });
   readonly #viewFollowers = new ViewFollowers();
   readonly #viewPoller: ViewPoller;
@@ -154,18 +158,16 @@
     this.#store = dependencies.store;
     this.#droppedLogLines = dependencies.droppedLogLines;
     this.#activeConfig = new ActiveConfig(codec, logger);
-    this.#directory = new RunnerDirectory(logger);
-    this.#evacuatedZones = new EvacuatedZones(logger);
-    this.#rateLimits = new RunnerRateLimits(logger);
-    this.#sightings = new SoftwareSightings(
-      () => this.#directory.listAll(),
-      () => this.#watchCache.ageMs,
-    );
-    this.#directory.events.on("dropped", (runner) => {
+    this.#directory = new RunnerDirectory(logger, (runner) => {
       this.#sightings.recordSighting(runner);
     });
-    this.#directory.events.on("listRead", () => {
-      this.#sightings.recordList();
+    this.#evacuatedZones = new EvacuatedZones(logger);
+    this.#rateLimits = new RunnerRateLimits(logger);
+    this.#sightings = new SoftwareSightings(() => this.#directory.listAll(), {
+      entryLifetimeMs: settings.runnerEntryLifetimeMs ?? 0,
+      onGap: () => {
+        void this.#readSoftwareHistory();
+      },
     });
     const coldRunners = new ColdRunners();
     this.#directory.events.on("started", (runner) => {
@@ -436,17 +438,6 @@
       health: this.#runnersHealth,
     });
     void this.#leavePoller.run(signal);
-    if (settings.isFirstStart) this.#sightings.recordFirstStart();
-    void readSoftwareHistory({
-      store: this.#store,
-      directory: this.#directory,
-      watchCache: this.#watchCache,
-      sightings: this.#sightings,
-      isReader: () => this.#readerProvider.find() === undefined,
-      historyMs: settings.storeHistoryMs ?? DEFAULT_HISTORY_MS,
-      logger: this.#logger,
-      signal,
-    });
     const { readiness, metrics } = settings;
     this.#servers.push(
       await serveText(readiness, (path) => ({
@@ -562,6 +553,22 @@
       : undefined;
   }
 
+  async #readSoftwareHistory(): Promise<void> {
+    if (this.#isReadingHistory) return;
+    this.#isReadingHistory = true;
+    await readSoftwareHistory({
+      store: this.#store,
+      directory: this.#directory,
+      watchCache: this.#watchCache,
+      sightings: this.#sightings,
+      isReader: () => this.#readerProvider.find() === undefined,
+      historyMs: this.#settings.storeHistoryMs ?? DEFAULT_HISTORY_MS,
+      logger: this.#logger,
+      signal: this.#stopping.signal,
+    });
+    this.#isReadingHistory = false;
+  }
+
   #computeCheckIntervalMs(): number {
     return computeCheckIntervalMs({
       instanceCount: Math.max(MIN_FLEET_SIZE, this.#roster.peakInstanceCount),
--- a/packages/gateway/src/server/gateway_settings.ts
+++ b/packages/gateway/src/server/gateway_settings.ts
@@ -38,6 +38,8 @@
     | undefined;
   /** Limit of the fleet for cold runners; undefined sets none. */
   readonly coldLimit?: ColdLimit | undefined;
+  /** For how long an entry of a runner is listed at least. */
+  readonly runnerEntryLifetimeMs?: number | undefined;
   /** For how long the store keeps its history. */
   readonly storeHistoryMs?: number | undefined;
   /** Reads that the store takes a second from the whole fleet. */
--- a/packages/gateway/src/views/read_software_history.ts
+++ b/packages/gateway/src/views/read_software_history.ts
@@ -16,8 +16,9 @@
 
 /**
  * Reads from the store's history which software versions there were before this
- * instance started, unless its peers tell: none may have lived longer. Of the
- * instances that ask a peer for the list, each waits for its peers first.
+ * instance started or while it missed changes, unless its peers tell: none may have
+ * lived longer. Of the instances that ask a peer for the list, each waits for its
+ * peers first.
  */
 export async function readSoftwareHistory(dependencies: {
   readonly store: MetadataStore;
@@ -59,7 +60,13 @@
         : extent === "all"
           ? Number.POSITIVE_INFINITY
           : historyMs;
-    sightings.recordHistory({ knownForMs, departed: departed ?? [] });
+    const isJoined = sightings.recordHistory({
+      knownForMs,
+      knownUpTo: asOf,
+      departed: departed ?? [],
+    });
+    // The list was read again meanwhile.
+    if (!isJoined) continue;
     dependencies.logger.info("software_history_read", {
       extent,
       changes: changes.length,
--- a/packages/gateway/src/views/runner_directory.ts
+++ b/packages/gateway/src/views/runner_directory.ts
@@ -33,12 +33,9 @@
     /** An incarnation was stated to be leaving; not by a peer. */
     stated: string;
     changed: undefined;
-    /** An incarnation is not listed any more. */
-    dropped: GatewayRunner;
-    /** The whole list was read. */
-    listRead: undefined;
   }>();
   readonly #logger: Logger;
+  readonly #onDropped: (runner: GatewayRunner) => void;
   readonly #runners = new Map<string, GatewayRunner>();
   /** The latest position at which the store showed each runner. */
   readonly #sightedAsOf = new Map<string, StorePosition>();
@@ -53,8 +50,13 @@
   #hasList = false;
   #eraSeenAtMs = 0;
 
-  constructor(logger: Logger) {
+  /** `onDropped` is called, at once, when an incarnation is listed no more. */
+  constructor(
+    logger: Logger,
+    onDropped: (runner: GatewayRunner) => void = () => undefined,
+  ) {
     this.#logger = logger;
+    this.#onDropped = onDropped;
   }
 
   get size(): number {
@@ -138,7 +140,6 @@
     for (const runner of runners) this.#add(runner, { type: "listing", asOf });
     // An entry of an earlier start does not list the known one.
     this.#hasList ||= runners.length > 0;
-    if (runners.length > 0) void this.events.emit("listRead");
     const listed = new Set(runners.map(toIncarnationId));
     for (const runner of [...this.#runners.values()]) {
       if (!listed.has(toIncarnationId(runner)))
@@ -192,7 +193,7 @@
     const isNew = known?.startedAtMs !== runner.startedAtMs;
     if (known && isNew) {
       this.markLeaving(toIncarnationId(known), "replaced");
-      void this.events.emit("dropped", known);
+      this.#onDropped(known);
     }
     if (isNew) this.#pendingRemovals.delete(runnerId);
     else this.#pendingRemovals.cancelIfListed(runnerId, sighting.asOf);
@@ -280,7 +281,7 @@
     if (runner.state === "leaving" && !this.#pendingRemovals.isInGrace)
       this.#departed.add(incarnationId);
     this.#runners.delete(runner.runnerId);
-    void this.events.emit("dropped", runner);
+    this.#onDropped(runner);
     this.#forgetAddress(runner);
     this.#sightedAsOf.delete(runner.runnerId);
     this.#usable.clear();
--- a/packages/gateway/src/views/runner_watch_cache.ts
+++ b/packages/gateway/src/views/runner_watch_cache.ts
@@ -1,6 +1,7 @@
 import { maxElapsedMs, type ClockReading } from "@jujubeladder/utils";
 import { compareStorePositions } from "../model/compare_store_positions.js";
 import type { GatewayRunner } from "../model/gateway_runner.js";
+import type { RunnerListRead } from "../model/runner_list_read.js";
 import type { RunnerListUpdate } from "../model/runner_list_update.js";
 import type { RunnerChange } from "../model/runner_change.js";
 import type { StorePosition } from "../model/store_position.js";
@@ -25,13 +26,20 @@
   readonly #log: LogEntry[] = [];
   readonly #changed = new ChangeSignal();
   readonly #onChanged: () => void;
+  readonly #onRead: (read: RunnerListRead) => void;
   #logStart = INITIAL_POSITION;
   #asOf = INITIAL_POSITION;
   #changedAsOf = INITIAL_POSITION;
   #readAt: ClockReading | undefined;
 
-  constructor(options: { readonly onChanged?: () => void } = {}) {
+  constructor(
+    options: {
+      readonly onChanged?: () => void;
+      readonly onRead?: (read: RunnerListRead) => void;
+    } = {},
+  ) {
     this.#onChanged = options.onChanged ?? (() => undefined);
+    this.#onRead = options.onRead ?? (() => undefined);
   }
 
   /** The store's position of the list; at revision 0 before the first read. */
@@ -58,7 +66,7 @@
     for (const runner of runners) this.#runners.set(runner.runnerId, runner);
     this.#log.length = 0;
     this.#logStart = read.asOf;
-    this.#recordRead(read);
+    this.#recordRead({ ...read, isWholeList: true });
     this.#recordChange();
   }
 
@@ -72,7 +80,7 @@
         this.#runners.set(change.runner.runnerId, change.runner);
       } else this.#runners.delete(change.runnerId);
     }
-    this.#recordRead(read);
+    this.#recordRead({ ...read, isWholeList: false });
     if (changes.length === 0) return;
     this.#log.push({ asOf: read.asOf, changes });
     while (this.#log.length > MAX_LOG_ENTRIES) {
@@ -112,11 +120,9 @@
     this.#onChanged();
   }
 
-  #recordRead(read: {
-    readonly asOf: StorePosition;
-    readonly readAt: ClockReading;
-  }): void {
+  #recordRead(read: RunnerListRead): void {
     this.#asOf = read.asOf;
     this.#readAt = read.readAt;
+    this.#onRead(read);
   }
 }
--- a/packages/gateway/src/views/software_sightings.ts
+++ b/packages/gateway/src/views/software_sightings.ts
@@ -1,7 +1,10 @@
-import { monotonicMs } from "@jujubeladder/utils";
+import { maxElapsedMs, monotonicMs } from "@jujubeladder/utils";
 import type { DepartedSoftware } from "../model/departed_software.js";
 import type { GatewayRunner } from "../model/gateway_runner.js";
 import { MAX_VIEW_AGE_MS } from "../model/max_view_age_ms.js";
+import type { RunnerListRead } from "../model/runner_list_read.js";
+import type { SoftwareHistory } from "../model/software_history.js";
+import type { StorePosition } from "../model/store_position.js";
 
 /** Longer than from the last listing of a runner until its streams are taken up. */
 const RETENTION_MS = 40_000;
@@ -15,21 +18,30 @@
  */
 export class SoftwareSightings {
   readonly #listRunners: () => Iterable<GatewayRunner>;
-  readonly #listAgeMs: () => number;
+  readonly #entryLifetimeMs: number;
+  readonly #onGap: () => void;
   /** When each version that is not listed now was last sighted, by service. */
   readonly #departedAtMs = new Map<string, Map<string, number>>();
+  #lastRead: RunnerListRead | undefined;
+  /** The position from which on no change of the list was missed here. */
+  #followedFrom: StorePosition | undefined;
   #knownSinceMs = Number.POSITIVE_INFINITY;
 
   /**
-   * `listRunners` lists all runners that are listed, also those that leave, and
-   * `listAgeMs` tells how long ago the store was known to hold that list.
+   * `listRunners` lists all runners that are listed, also those that leave. No
+   * runner comes and goes within `entryLifetimeMs`. `onGap` is called when changes
+   * of the list may have been missed.
    */
   constructor(
     listRunners: () => Iterable<GatewayRunner>,
-    listAgeMs: () => number,
+    options: {
+      readonly entryLifetimeMs: number;
+      readonly onGap?: () => void;
+    },
   ) {
     this.#listRunners = listRunners;
-    this.#listAgeMs = listAgeMs;
+    this.#entryLifetimeMs = options.entryLifetimeMs;
+    this.#onGap = options.onGap ?? (() => undefined);
   }
 
   /** For how long all versions have been known. */
@@ -37,14 +49,26 @@
     return Math.max(0, monotonicMs() - this.#knownSinceMs);
   }
 
-  /** Records that no instance of the fleet has run before, so that no stream has. */
-  recordFirstStart(): void {
-    this.#extend(Number.NEGATIVE_INFINITY);
+  /** The position up to which the versions are known. */
+  get knownUpTo(): StorePosition | undefined {
+    return this.#lastRead?.asOf;
   }
 
-  /** Records that the whole list of runners has been read. */
-  recordList(): void {
-    this.#extend(monotonicMs());
+  /** Records a read of the list. */
+  recordRead(read: RunnerListRead): void {
+    const last = this.#lastRead;
+    this.#lastRead = read;
+    if (last && !read.isWholeList) return;
+    this.#followedFrom = read.asOf;
+    const sinceLastMs = last
+      ? Math.max(
+          read.readAt.monotonicMs - last.readAt.monotonicMs,
+          read.readAt.wallMs - last.readAt.wallMs,
+        )
+      : Number.POSITIVE_INFINITY;
+    if (sinceLastMs <= this.#entryLifetimeMs) return;
+    this.#knownSinceMs = read.readAt.monotonicMs;
+    this.#onGap();
   }
 
   /** Records a runner that may not be listed here any more, or not yet. */
@@ -52,13 +76,23 @@
     this.#depart({ serviceId, softwareVersion, ageMs: 0 });
   }
 
-  /** Records what another source knows of the time before now. */
-  recordHistory(history: {
-    readonly knownForMs: number;
-    readonly departed: readonly DepartedSoftware[];
-  }): void {
+  /**
+   * Records what another source knows of the time before now. Only a source that
+   * is as far as the first list here leaves no gap between them; returns whether it
+   * is.
+   */
+  recordHistory(history: SoftwareHistory): boolean {
     for (const departed of history.departed) this.#depart(departed);
-    this.#extend(monotonicMs() - Math.min(history.knownForMs, RETENTION_MS));
+    const { knownForMs, knownUpTo } = history;
+    const from = this.#followedFrom;
+    const isJoined =
+      from !== undefined &&
+      knownUpTo?.era === from.era &&
+      knownUpTo.revision >= from.revision;
+    if (!isJoined) return false;
+    const sinceMs = monotonicMs() - Math.min(knownForMs, RETENTION_MS);
+    this.#knownSinceMs = Math.min(this.#knownSinceMs, sinceMs);
+    return true;
   }
 
   /** Lists the versions that are not listed any more, for a peer. */
@@ -88,8 +122,10 @@
 
   /** True unless a current list shows that the service has had one version. */
   mayHaveSeveral(serviceId: string): boolean {
+    const ageMs = this.#lastRead && maxElapsedMs(this.#lastRead.readAt);
     return (
-      this.#listAgeMs() > MAX_VIEW_AGE_MS ||
+      ageMs === undefined ||
+      ageMs > MAX_VIEW_AGE_MS ||
       this.findOnlyListed(serviceId) === undefined
     );
   }
@@ -128,8 +164,4 @@
         this.#departedAtMs.delete(serviceId);
     }
   }
-
-  #extend(sinceMs: number): void {
-    this.#knownSinceMs = Math.min(this.#knownSinceMs, sinceMs);
-  }
 }
