Continue a stream only at the listed start of a runner

What callers saw: nothing in the answer.

Cause: the version of a runner is that of its entry, and the request names the runner's id, which outlives the process.

Ruled out: comparing the entry at the write once more, since the instance that is behind has the old one; the health answer, which tells the id only.

Change: before the rest of a stream is written, the process at the other end of the connection is asked for its start (born, in its report) on that connection; another start, or no response within 0.3 s, and another runner is chosen. New streams are not asked about. It costs a round trip for each take-up and each run that goes on elsewhere.

--- a/packages/gateway/src/__tests__/returned_runner.test.ts
+++ b/packages/gateway/src/__tests__/returned_runner.test.ts
@@ -62,6 +62,7 @@
     copyRun: async () => Promise.resolve(answers.shift() ?? COPIED),
     onNotice: () => undefined,
     readReport: async () => Promise.resolve({ isLeaving: false }),
+    readStart: async () => Promise.resolve({ type: "not_told" }),
     dropCopy: async () => Promise.resolve(),
   };
   const migrator = new RunMigrator({
--- a/packages/gateway/src/__tests__/run_migration.test.ts
+++ b/packages/gateway/src/__tests__/run_migration.test.ts
@@ -137,6 +137,7 @@
       },
       onNotice: () => undefined,
       readReport: () => Promise.resolve({ isLeaving: true }),
+      readStart: () => Promise.resolve({ type: "not_told" }),
       dropCopy: () => Promise.resolve(),
     },
     targets: {
@@ -173,6 +174,7 @@
       },
       onNotice: () => undefined,
       readReport: () => Promise.resolve({ isLeaving: true }),
+      readStart: () => Promise.resolve({ type: "not_told" }),
       dropCopy: ({ handle }) => {
         held.delete(handle);
         return Promise.resolve();
--- a/packages/gateway/src/mod.ts
+++ b/packages/gateway/src/mod.ts
@@ -28,6 +28,7 @@
 export type { Route } from "./model/route.js";
 export type { RoutedService } from "./model/routed_service.js";
 export type { RunnerResponse } from "./model/runner_response.js";
+export type { RunnerStart } from "./model/runner_start.js";
 export type { RunnerNotice } from "./model/runner_notice.js";
 export type { RunnerHistory } from "./model/runner_history.js";
 export type { RunnerChange } from "./model/runner_change.js";
--- a/packages/gateway/src/model/engine_control.ts
+++ b/packages/gateway/src/model/engine_control.ts
@@ -4,6 +4,8 @@
 import type { KvCacheRef } from "./kv_cache_ref.js";
 import type { NoticeOrigin } from "./notice_origin.js";
 import type { RunnerNotice } from "./runner_notice.js";
+import type { RunnerStart } from "./runner_start.js";
+import type { HttpConnection } from "../transport/http_connection.js";
 
 /** Control operations of model engines. */
 export interface EngineControl {
@@ -33,6 +35,14 @@
    * counts as not leaving.
    */
   readReport(runner: GatewayRunner, timeoutMs: number): Promise<EngineReport>;
+  /**
+   * Asks the process behind a connection when it started, and leaves the connection
+   * open for a request to the same process unless there is no response.
+   */
+  readStart(
+    connection: HttpConnection,
+    timeoutMs: number,
+  ): Promise<RunnerStart>;
   /** Frees a copy on both the source and the target. */
   dropCopy(cacheRef: KvCacheRef): Promise<void>;
 }
--- a/packages/gateway/src/relay/request_relay.ts
+++ b/packages/gateway/src/relay/request_relay.ts
@@ -12,10 +12,12 @@
 import { RateMeter } from "../decisions/rate_meter.js";
 import { refuseWhileStopping } from "../decisions/refuse_while_stopping.js";
 import type { GatewayCodec } from "../model/gateway_codec.js";
+import type { EngineControl } from "../model/engine_control.js";
 import type { GatewayRunner } from "../model/gateway_runner.js";
 import type { Refusal } from "../model/refusal.js";
 import type { RunnerResponse } from "../model/runner_response.js";
 import type { ConnectionPool } from "../transport/connection_pool.js";
+import type { HttpConnection } from "../transport/http_connection.js";
 import type { RatePermits } from "../mesh/rate_permits.js";
 import type { RunnerDirectory } from "../views/runner_directory.js";
 import type { AttemptOutcome } from "./attempt_outcome.js";
@@ -68,6 +70,8 @@
 const NOT_ALLOWED_RETRY_MS = 1_000;
 /** Another instance may know it. */
 const UNKNOWN_SOFTWARE_RETRY_MS = 500;
+/** A runner that does not say in time when it started is passed over. */
+const START_TIMEOUT_MS = 300;
 /** Engine priority per level of request priority; 0 is served first. */
 const ENGINE_PRIORITY_STEP = 2;
 
@@ -87,6 +91,7 @@
   readonly partQuarantine: PartQuarantine;
   readonly partEvidence: PartEvidenceRecorder;
   readonly takeUps: StreamTakeUps;
+  readonly control: Pick<EngineControl, "readStart">;
   readonly endChecker: EndChecker;
   readonly checkForCrash: (
     runner: GatewayRunner,
@@ -357,6 +362,10 @@
       });
       if (!opened.ok) return { type: "not_sent", reason: opened.error };
       const connection = opened.value;
+      if (!(await this.#isListedStart(connection, plan.runner, session))) {
+        connection.close();
+        return { type: "withheld", reason: "the runner has started again" };
+      }
       const kind = { isResumption: continueFrom !== undefined };
       if (!(await this.#dependencies.permits.spend(runner, kind))) {
         connection.close();
@@ -480,6 +489,29 @@
     }
   }
 
+  // A stream that has begun goes on at the listed start of a runner only. Under its
+  // id another one may have another software version, and may not be listed yet.
+  async #isListedStart(
+    connection: HttpConnection,
+    { startedAtMs }: GatewayRunner,
+    session: StreamSession | undefined,
+  ): Promise<boolean> {
+    if (session?.softwareVersion === undefined || startedAtMs === 0)
+      return true;
+    const start = await this.#dependencies.control.readStart(
+      connection,
+      START_TIMEOUT_MS,
+    );
+    switch (start.type) {
+      case "told":
+        return start.startedAtMs === startedAtMs && connection.isOpen;
+      case "not_told":
+        return connection.isOpen;
+      case "no_response":
+        return false;
+    }
+  }
+
   // The runner may have started again under its id since it was chosen.
   #hasSoftware(
     runner: GatewayRunner,
--- a/packages/gateway/src/server/gateway_instance.ts
+++ b/packages/gateway/src/server/gateway_instance.ts
@@ -378,6 +378,7 @@
       partQuarantine,
       partEvidence,
       takeUps,
+      control,
       endChecker: new EndChecker(logger),
       checkForCrash: (runner, request) => {
         crashDetector.checkForCrash(runner, request);
--- a/packages/gateway/src/transport/http_connection.ts
+++ b/packages/gateway/src/transport/http_connection.ts
@@ -49,6 +49,7 @@
  * arrive that no request asked for, or more than a response may have.
  */
 export class HttpConnection {
+  readonly endpoint: Endpoint;
   readonly #client: Client;
   readonly #socket: HoldableSocket;
   #idleSinceMs = monotonicMs();
@@ -60,6 +61,7 @@
   #current: Current | undefined;
 
   private constructor(socket: HoldableSocket, endpoint: Endpoint) {
+    this.endpoint = endpoint;
     this.#socket = socket;
     // These must run before the client's own listeners, because the client treats
     // a reset as the regular end of a response without a content length.
