Ask for the process, not for its port, when a connection ends an answer

What callers saw: 200 and a stream that ended in good order after 46 of 120 events.

Cause: EndChecker took an open port for the process that had run the request.

Ruled out: a reset that was taken for an end, and an end inside an event: a test with an orderly end after an event, and another start at the address, failed.

Change: ProcessChecker looks for a listed successor, asks the process for its start, and where it tells none the store, by a read that is sent after the end. Where nothing tells, the answer is not whole. After a request of the last second the process that is there is the one that ran it, so that short answers of plain services need no read of the store.

--- a/packages/gateway/src/decisions/judge_connection_end.ts
+++ b/packages/gateway/src/decisions/judge_connection_end.ts
@@ -1,4 +1,4 @@
-import type { PortContact } from "@jujubeladder/utils";
+import type { EndedProcess } from "../model/ended_process.js";
 
 /**
  * Decides whether an answer is whole of which only the orderly end of its
@@ -8,16 +8,20 @@
 export function judgeConnectionEnd(end: {
   /** An order to stop the run was on its way, which ends its stream early. */
   readonly mayHaveStopped: boolean;
-  /** What the runner's port did just after the end. */
-  readonly contact: PortContact;
+  /** What is known of the process that ran the request, after the end. */
+  readonly process: EndedProcess;
 }): string | undefined {
   if (end.mayHaveStopped) return "the connection ended while the run moved";
-  switch (end.contact) {
-    case "accepted":
+  switch (end.process) {
+    case "alive":
       return undefined;
-    case "refused":
+    case "gone":
       return "the connection ended with the runner's process";
+    case "replaced":
+      return "the connection ended and the runner has started again";
     case "silent":
       return "the connection ended and the runner does not respond";
+    case "not_known":
+      return "the connection ended and the runner may have started again";
   }
 }
--- a/packages/gateway/src/relay/end_checker.ts
+++ b/packages/gateway/src/relay/end_checker.ts
@@ -1,9 +1,10 @@
 import type { Logger } from "@jujubeladder/logger";
-import { probePort } from "@jujubeladder/utils";
+import type { ClockReading } from "@jujubeladder/utils";
 import { judgeConnectionEnd } from "../decisions/judge_connection_end.js";
 import type { GatewayRunner } from "../model/gateway_runner.js";
 import type { AttemptConnection } from "./attempt_connection.js";
 import type { AttemptOutcome } from "./attempt_outcome.js";
+import type { ProcessChecker } from "./process_checker.js";
 import type { RunMigration } from "./run_migration.js";
 
 /** An attempt whose answer has ended. */
@@ -12,15 +13,19 @@
   readonly runner: GatewayRunner;
   readonly connection: AttemptConnection;
   readonly migration: RunMigration | undefined;
+  /** Just before it was sent. */
+  readonly sentAt: ClockReading;
   /** Time that is left to look after the runner. */
   readonly maxWaitMs: number;
 }
 
 /** Takes answers for broken of which no framing and no runner tells the end. */
 export class EndChecker {
+  readonly #processes: Pick<ProcessChecker, "check">;
   readonly #logger: Logger;
 
-  constructor(logger: Logger) {
+  constructor(processes: Pick<ProcessChecker, "check">, logger: Logger) {
+    this.#processes = processes;
     this.#logger = logger;
   }
 
@@ -32,13 +37,14 @@
       return outcome;
     // What a framing ends is whole before the connection's end is read.
     if (attempt.connection.endedBy !== "runner") return outcome;
-    const contact = await probePort(attempt.runner, attempt.maxWaitMs);
+    const { runner } = attempt;
+    const process = await this.#processes.check(runner, attempt);
     const mayHaveStopped = attempt.migration?.mayHaveStopped === true;
-    const reason = judgeConnectionEnd({ mayHaveStopped, contact });
+    const reason = judgeConnectionEnd({ mayHaveStopped, process });
     this.#logger.info("answer_end", {
       request: attempt.requestId,
-      runner: attempt.runner.runnerId,
-      contact,
+      runner: runner.runnerId,
+      process,
       is_whole: reason === undefined,
       reason,
     });
--- a/packages/gateway/src/relay/request_relay.ts
+++ b/packages/gateway/src/relay/request_relay.ts
@@ -1,7 +1,7 @@
 import type { PartQuarantine, Quarantine } from "@jujubeladder/coordination";
 import type { Logger } from "@jujubeladder/logger";
 import type { Metrics } from "@jujubeladder/metrics";
-import { monotonicMs } from "@jujubeladder/utils";
+import { monotonicMs, readClocks } from "@jujubeladder/utils";
 import { computeQueueWaitMs } from "../decisions/compute_queue_wait_ms.js";
 import { endsBeforeExit } from "../decisions/ends_before_exit.js";
 import { estimateRetryAfterMs } from "../decisions/estimate_retry_after_ms.js";
@@ -392,6 +392,7 @@
         return { type: "timed_out" };
       }
       const sentAtMs = monotonicMs();
+      const sentAt = readClocks();
       progress.sendCount += 1;
       if (progress.booking) {
         progress.booking.recordSent();
@@ -443,6 +444,7 @@
             runner,
             connection: ended,
             migration,
+            sentAt,
             maxWaitMs: remainingMs(context),
           });
       progress.lastConnection = ended;
--- a/packages/gateway/src/server/gateway_instance.ts
+++ b/packages/gateway/src/server/gateway_instance.ts
@@ -47,6 +47,7 @@
 import type { MetadataStore } from "../model/metadata_store.js";
 import { LeavePoller } from "../relay/leave_poller.js";
 import { CrashDetector } from "../relay/crash_detector.js";
+import { ProcessChecker } from "../relay/process_checker.js";
 import { EndChecker } from "../relay/end_checker.js";
 import { PartEvidenceRecorder } from "../relay/part_evidence_recorder.js";
 import { PlacementRules } from "../relay/placement_rules.js";
@@ -379,7 +380,14 @@
       partEvidence,
       takeUps,
       control,
-      endChecker: new EndChecker(logger),
+      endChecker: new EndChecker(
+        new ProcessChecker({
+          control,
+          directory: this.#directory,
+          unseenChanges,
+        }),
+        logger,
+      ),
       checkForCrash: (runner, request) => {
         crashDetector.checkForCrash(runner, request);
       },
