Read the history again also after a read of it has thrown

Cause: a read of the store's history that throws left the mark that one is under way, so that no later gap would start another. Found on reading; no reader is known to throw there.

Ruled out: none.

Change: the mark is taken back in any case.

--- a/packages/gateway/src/server/gateway_instance.ts
+++ b/packages/gateway/src/server/gateway_instance.ts
@@ -565,17 +565,20 @@
   async #readSoftwareHistory(): Promise<void> {
     if (this.#isReadingHistory) return;
     this.#isReadingHistory = true;
-    await readSoftwareHistory({
-      store: this.#store,
-      directory: this.#directory,
-      watchCache: this.#watchCache,
-      sightings: this.#sightings,
-      isReader: () => this.#readerProvider.find() === undefined,
-      historyMs: this.#settings.storeHistoryMs ?? DEFAULT_HISTORY_MS,
-      logger: this.#logger,
-      signal: this.#stopping.signal,
-    });
-    this.#isReadingHistory = false;
+    try {
+      await readSoftwareHistory({
+        store: this.#store,
+        directory: this.#directory,
+        watchCache: this.#watchCache,
+        sightings: this.#sightings,
+        isReader: () => this.#readerProvider.find() === undefined,
+        historyMs: this.#settings.storeHistoryMs ?? DEFAULT_HISTORY_MS,
+        logger: this.#logger,
+        signal: this.#stopping.signal,
+      });
+    } finally {
+      this.#isReadingHistory = false;
+    }
   }
 
   #computeCheckIntervalMs(): number {
