Ask a runner for its start again before a stream is given up

What callers saw: streams that moved to another runner were cut.

Cause: the question for the start of a runner took a connection that the runner closed after its answer, and a missing answer, for another start. Which of the two these were, the log does not tell.

Ruled out: that the runners had started again: nothing lists another start.

Change: connectToListedStart opens a closed connection again, asks a second time where there is no answer, and lets a run go on without one at a runner that has its copy. The reason names what was found. A comment of ProcessChecker is corrected.

--- a/packages/gateway/src/relay/process_checker.ts
+++ b/packages/gateway/src/relay/process_checker.ts
@@ -62,7 +62,7 @@
     return this.#directory.findPresence(runner) === "replaced";
   }
 
-  // A process registers before it gets requests, but not before it listens.
+  // Does not tell of a process that listens and has not registered yet.
   async #askStore(runner: GatewayRunner): Promise<EndedProcess> {
     const changes = await this.#unseen.read();
     if (!changes) return "not_known";
--- a/packages/gateway/src/relay/request_relay.ts
+++ b/packages/gateway/src/relay/request_relay.ts
@@ -17,10 +17,10 @@
 import type { Refusal } from "../model/refusal.js";
 import type { RunnerResponse } from "../model/runner_response.js";
 import type { ConnectionPool } from "../transport/connection_pool.js";
-import type { HttpConnection } from "../transport/http_connection.js";
 import type { RatePermits } from "../mesh/rate_permits.js";
 import type { RunnerDirectory } from "../views/runner_directory.js";
 import type { AttemptOutcome } from "./attempt_outcome.js";
+import { connectToListedStart } from "./connect_to_listed_start.js";
 import type { FinalOutcome } from "./final_outcome.js";
 import type { InterruptedRequest } from "./interrupted_request.js";
 import { deliverAnswer } from "./deliver_answer.js";
@@ -70,8 +70,6 @@
 const NOT_ALLOWED_RETRY_MS = 1_000;
 /** Another instance may know it. */
 const UNKNOWN_SOFTWARE_RETRY_MS = 500;
-/** A runner that does not say in time when it started is passed over. */
-const START_TIMEOUT_MS = 300;
 /** Engine priority per level of request priority; 0 is served first. */
 const ENGINE_PRIORITY_STEP = 2;
 
@@ -355,17 +353,24 @@
           maxWaitMs: remainingMs(context),
         });
       }
-      const opened = await pool.acquire(runner, {
-        mustBeNew: !mayRetry(route.retryPolicy) || continueFrom !== undefined,
-        timeoutMs: Math.min(CONNECT_TIMEOUT_MS, remainingMs(context)),
-        signal: context.response.cancelSignal,
-      });
+      const connect = async (options: { readonly mustBeNew: boolean }) =>
+        await pool.acquire(runner, {
+          ...options,
+          timeoutMs: Math.min(CONNECT_TIMEOUT_MS, remainingMs(context)),
+          signal: context.response.cancelSignal,
+        });
+      const mustBeNew =
+        !mayRetry(route.retryPolicy) || continueFrom !== undefined;
+      const hasBegun = session?.softwareVersion !== undefined;
+      const opened = hasBegun
+        ? await connectToListedStart(runner, {
+            connect,
+            control: this.#dependencies.control,
+            mayBeUnknown: continueFrom !== undefined,
+          })
+        : await connect({ mustBeNew });
       if (!opened.ok) return { type: "not_sent", reason: opened.error };
       const connection = opened.value;
-      if (!(await this.#isListedStart(connection, plan.runner, session))) {
-        connection.close();
-        return { type: "withheld", reason: "the runner has started again" };
-      }
       const kind = { isResumption: continueFrom !== undefined };
       if (!(await this.#dependencies.permits.spend(runner, kind))) {
         connection.close();
@@ -491,29 +496,6 @@
     }
   }
 
-  // A stream that has begun goes on at the listed start of a runner only. Under its
-  // id another one may have another software version, and may not be listed yet.
-  async #isListedStart(
-    connection: HttpConnection,
-    { startedAtMs }: GatewayRunner,
-    session: StreamSession | undefined,
-  ): Promise<boolean> {
-    if (session?.softwareVersion === undefined || startedAtMs === 0)
-      return true;
-    const start = await this.#dependencies.control.readStart(
-      connection,
-      START_TIMEOUT_MS,
-    );
-    switch (start.type) {
-      case "told":
-        return start.startedAtMs === startedAtMs && connection.isOpen;
-      case "not_told":
-        return connection.isOpen;
-      case "no_response":
-        return false;
-    }
-  }
-
   // The runner may have started again under its id since it was chosen.
   #hasSoftware(
     runner: GatewayRunner,
